--- /dev/null
+++ b/src/bronzekeel/core/routing/directory.py
@@ -0,0 +1,101 @@
+"""Know the upstreams: listed, missing for now, or gone.
+
+An entry in the store is a hint.  Entries lapse while the store is away, and
+come back soon after it if their upstream lives; only what is still missing
+after ``RETURN_GRACE_S`` counts as gone.
+"""
+
+from bronzekeel.core.routing.model import Upstream, UpstreamEntry
+
+
+#: Seconds that a lapsed entry has to come back after the store does.
+#: Source: the users say about two seconds; half a second is for reading it.
+RETURN_GRACE_S = 2.5
+
+#: Seconds for which upstreams that are gone are remembered, so that packets
+#: of their flows still reach one that lives unlisted.  Source: the users'
+#: bound on the age of a flow.
+REMEMBERED_S = 60.0
+
+
+class Directory:
+    """Hold all upstreams by name, by service and by short number."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.by_name: dict[str, Upstream] = {}
+        self.by_number: dict[int, Upstream] = {}
+        self.names_by_service: dict[str, set[str]] = {}
+        self.unsettled_until: float = 0
+
+    @property
+    def listed_count(self) -> int:
+        """Number of upstreams that the store lists."""
+        return sum(upstream.listed for upstream in self.by_name.values())
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service, gone ones too."""
+        return [self.by_name[name] for name in self.names_by_service.get(service, ())]
+
+    def note_regained(self, now: float) -> None:
+        """Give entries that lapsed during an outage the time to come back."""
+        self.unsettled_until = now + RETURN_GRACE_S
+
+    def take(self, entry: UpstreamEntry, now: float) -> bool:
+        """Take a listed entry; return whether it is new or says something new."""
+        known = self.by_name.get(entry.name)
+        if known is None:
+            self._add(entry, now)
+            return True
+        if entry.revision < known.entry.revision:
+            return False
+        returned = known.missing_at is not None
+        known.missing_at = None
+        known.left = False
+        if entry.revision == known.entry.revision:
+            return returned
+        known.entry = entry
+        known.warm_at = now + entry.cold_s
+        return True
+
+    def miss(self, name: str, now: float, revision: int = 0) -> Upstream | None:
+        """Note that an entry is no longer in the store; return it if it was.
+
+        One that was draining has left.  One that vanished while the store was
+        settled is gone at once; after an outage it may come back.
+        """
+        known = self.by_name.get(name)
+        if known is None or known.missing_at is not None:
+            return None
+        if revision and revision < known.entry.revision:
+            return None
+        known.missing_at = now
+        known.left = known.entry.draining
+        known.gone_at = now if known.left else max(now, self.unsettled_until)
+        return known
+
+    def forget_old(self, now: float) -> None:
+        """Forget upstreams that have been gone for long."""
+        for name, upstream in list(self.by_name.items()):
+            if upstream.missing_at is None or now < upstream.missing_at + REMEMBERED_S:
+                continue
+            self._remove(name)
+
+    def _add(self, entry: UpstreamEntry, now: float) -> None:
+        """Add an upstream.
+
+        Two upstreams may fold to the same short number.  The first keeps it;
+        the other gets no flows, since its packets would go to the first.
+        """
+        upstream = Upstream(entry, now)
+        holder = self.by_number.setdefault(entry.short_number, upstream)
+        self.by_name[entry.name] = upstream
+        if holder is upstream:
+            self.names_by_service.setdefault(entry.service, set()).add(entry.name)
+
+    def _remove(self, name: str) -> None:
+        entry = self.by_name.pop(name).entry
+        holder = self.by_number.get(entry.short_number)
+        if holder is not None and holder.entry.name == name:
+            self.by_number.pop(entry.short_number)
+        self.names_by_service.get(entry.service, set()).discard(name)
--- /dev/null
+++ b/src/bronzekeel/core/routing/effects.py
@@ -0,0 +1,47 @@
+"""Define what a balancer's decisions ask its adapters to do."""
+
+
+class Effect:
+    """Ask the adapters for something."""
+
+    __slots__ = ()
+
+
+class ReadPage(Effect):
+    """Read a page of a collection, the names after `after`."""
+
+    __slots__ = ('after', 'collection')
+
+    def __init__(self, collection: str, after: str) -> None:
+        """Read `collection` from `after` on; an empty name is the start."""
+        self.collection = collection
+        self.after = after
+
+
+class WatchChanges(Effect):
+    """Wait for changes of a collection after a revision, `wait_s` seconds at most."""
+
+    __slots__ = ('collection', 'revision', 'wait_s')
+
+    def __init__(self, collection: str, revision: int, wait_s: float) -> None:
+        """Watch `collection` from `revision` on."""
+        self.collection = collection
+        self.revision = revision
+        self.wait_s = wait_s
+
+
+class WriteLine(Effect):
+    """Write one numbered log line with its fields."""
+
+    __slots__ = ('fields', 'number')
+
+    def __init__(self, number: int, **fields: object) -> None:
+        """Write the event `number`."""
+        self.number = number
+        self.fields = fields
+
+
+class End(Effect):
+    """End the process: nothing of this balancer is needed any more."""
+
+    __slots__ = ()
--- /dev/null
+++ b/src/bronzekeel/core/routing/flows.py
@@ -0,0 +1,201 @@
+"""Remember for a while what callers' packets show of their flows.
+
+Forwarding needs none of this: a packet's connection id names its upstream.
+What is remembered tells how busy an upstream is, whether it answers opening
+packets, and whether a caller repeats itself in vain.  All of it may be lost.
+"""
+
+from collections import OrderedDict
+
+from bronzekeel.core.routing.model import FlowPacket, Upstream
+
+
+#: Seconds after which a request in progress no longer counts as load when
+#: nothing shows its end.  Source: eight times the mean work of the users'
+#: longest kind of request.
+BUSY_S = 0.5
+
+#: Flows that are remembered at most, the longest silent leave first.
+#: Source: at the size of docs/CAPACITY.md a host has 6,970 flows; at about
+#: 300 bytes each, four times as many stay below 10 MB.
+MOST_FLOWS = 28_000
+
+#: Seconds for which a first upstream avoids new flows after an opening packet
+#: that it left unanswered; each further one in a row doubles it.
+#: Source: an opening packet is repeated after 0.2 and 0.6 s, so a lost packet
+#: costs an upstream no more than a caller's first two tries.
+AVOID_S = 0.5
+
+#: Seconds that an upstream is avoided at most before it is tried again.
+MOST_AVOID_S = 4.0
+
+_MOST_DOUBLINGS = 3
+
+
+class Flow:
+    """Hold what was seen of one flow.
+
+    `answered` tells that the caller got an answer of `upstream`; `repeats`
+    counts how often the caller sent its newest bytes again.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'answered',
+        'asked_at',
+        'busy',
+        'closed',
+        'opened_at',
+        'repeats',
+        'seen_at',
+        'sequence',
+        'tried',
+        'upstream',
+    )
+
+    def __init__(self, upstream: Upstream | None, now: float) -> None:
+        """Start with a flow of which the first packet is seen."""
+        self.upstream = upstream
+        self.opened_at = now
+        self.seen_at = now
+        self.asked_at: float = 0
+        self.sequence = -1
+        self.acknowledged = -1
+        self.repeats = 0
+        self.answered = False
+        self.busy = False
+        self.closed = False
+        self.tried: frozenset[str] = frozenset()
+
+
+class FlowTable:
+    """Hold the flows that were seen of late, the longest silent first."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._by_key: OrderedDict[bytes, Flow] = OrderedDict()
+        self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of flows that are remembered."""
+        return len(self._by_key)
+
+    def find(self, key: bytes) -> Flow | None:
+        """Return a flow, None when it is not remembered."""
+        return self._by_key.get(key)
+
+    def place(self, key: bytes, upstream: Upstream, now: float) -> Flow:
+        """Note that an opening packet goes to `upstream`."""
+        self.drop(key)
+        flow = Flow(upstream, now)
+        upstream.open_flows += 1
+        self._by_key[key] = flow
+        self._mark_busy(key, flow, now)
+        if len(self._by_key) > MOST_FLOWS:
+            self.drop(next(iter(self._by_key)))
+        return flow
+
+    def see(self, packet: FlowPacket, upstream: Upstream | None, now: float) -> Flow:
+        """Note a packet of an open flow; return the flow."""
+        flow = self._by_key.get(packet.flow)
+        if flow is None or flow.upstream is not upstream:
+            opened_here = flow is not None and not flow.answered
+            flow = self._adopt(packet.flow, upstream, now)
+            flow.answered = not opened_here
+        flow.seen_at = now
+        self._by_key.move_to_end(packet.flow)
+        if not flow.answered:
+            flow.answered = True
+            _believe(upstream)
+        self._follow(packet, flow, now)
+        return flow
+
+    def blame(self, flow: Flow, now: float) -> None:
+        """Note that the flow's upstream left its opening packet unanswered."""
+        upstream = flow.upstream
+        if upstream is None or flow.answered:
+            return
+        wait_s = AVOID_S * 2 ** min(upstream.unanswered, _MOST_DOUBLINGS)
+        upstream.unanswered += 1
+        upstream.avoided_until = now + min(wait_s, MOST_AVOID_S)
+
+    def drop(self, key: bytes) -> None:
+        """Forget a flow."""
+        flow = self._by_key.pop(key, None)
+        if flow is None:
+            return
+        self._mark_idle(key, flow)
+        _close(flow)
+
+    def expire(self, idle_s: float, now: float) -> None:
+        """Forget silent flows, and requests whose end was not seen."""
+        while self._busy_by_key:
+            longest = next(iter(self._busy_by_key))
+            if now < self._busy_by_key[longest].asked_at + BUSY_S:
+                break
+            self._mark_idle(longest, self._busy_by_key[longest])
+        while self._by_key:
+            oldest = next(iter(self._by_key))
+            if now < self._by_key[oldest].seen_at + idle_s:
+                break
+            self.drop(oldest)
+
+    def _adopt(self, key: bytes, upstream: Upstream | None, now: float) -> Flow:
+        """Remember a flow that another balancer opened."""
+        self.drop(key)
+        flow = Flow(upstream, now)
+        flow.answered = True
+        if upstream is not None:
+            upstream.open_flows += 1
+        self._by_key[key] = flow
+        return flow
+
+    def _follow(self, packet: FlowPacket, flow: Flow, now: float) -> None:
+        """Tell requests, their repeats and their answers apart.
+
+        A host sees the callers' half only: bytes sent are a request, and an
+        acknowledgement that moved on is its answer.
+        """
+        if packet.acknowledged != flow.acknowledged:
+            flow.acknowledged = packet.acknowledged
+            flow.repeats = 0
+            self._mark_idle(packet.flow, flow)
+        if not packet.payload_bytes and not packet.closes:
+            return
+        if packet.sequence == flow.sequence:
+            flow.repeats += 1
+            return
+        flow.sequence = packet.sequence
+        if packet.closes:
+            self._mark_idle(packet.flow, flow)
+            _close(flow)
+            return
+        self._mark_busy(packet.flow, flow, now)
+
+    def _mark_busy(self, key: bytes, flow: Flow, now: float) -> None:
+        flow.asked_at = now
+        self._busy_by_key[key] = flow
+        self._busy_by_key.move_to_end(key)
+        if not flow.busy and flow.upstream is not None:
+            flow.busy = True
+            flow.upstream.busy_flows += 1
+
+    def _mark_idle(self, key: bytes, flow: Flow) -> None:
+        self._busy_by_key.pop(key, None)
+        if flow.busy and flow.upstream is not None:
+            flow.busy = False
+            flow.upstream.busy_flows -= 1
+
+
+def _close(flow: Flow) -> None:
+    """Count a flow as open no longer."""
+    if not flow.closed and flow.upstream is not None:
+        flow.upstream.open_flows -= 1
+    flow.closed = True
+
+
+def _believe(upstream: Upstream | None) -> None:
+    """Note that an upstream answered an opening packet."""
+    if upstream is not None:
+        upstream.unanswered = 0
+        upstream.avoided_until = 0
--- /dev/null
+++ b/src/bronzekeel/core/routing/follower.py
@@ -0,0 +1,140 @@
+"""Follow one collection of the store: list it, then watch it.
+
+What goes wrong: the store is down, slow, silent, refuses calls, loses its
+history or cuts a watch off.  One notices by an answer that is a refusal or does
+not come.  After each failure the wait doubles and is spread by the host's name,
+so that a fleet does not call at once when the store returns; after a lost history
+the collection is listed anew, and what is missing then was removed meanwhile.
+"""
+
+from enum import StrEnum
+from zlib import crc32
+
+from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
+
+
+#: Seconds that a watch may wait for a change.  Source: half of the least
+#: history that the users' store keeps (20 s), so a watch that is cut off can
+#: go on where it was.
+WATCH_S = 8.0
+
+#: Seconds that the first watch after a failure waits: it shows that the store
+#: answers, which a waiting watch would show only at its end.
+PROVING_WATCH_S = 0.02
+
+#: Seconds beyond a watch's wait in which the answer to a watch must have come.
+#: Source: twice the slowest answer of the users' store that serves at all.
+ANSWER_S = 2.0
+
+#: Wait after a first failure, in seconds.  Source: a store's single refusal
+#: (a rate that is used up, a connection that was reset) passes in less.
+FIRST_WAIT_S = 0.2
+
+#: Longest wait in seconds while the collection was never read: nothing is served.
+MOST_WAIT_UNREAD_S = 0.5
+
+#: Longest wait in seconds when something older is known.  Source: the bound on
+#: a change in force is 3 s after the store is stable again.
+MOST_WAIT_S = 1.5
+
+_SPREAD = 1000
+
+
+class Collection(StrEnum):
+    """Name the collections that a balancer follows."""
+
+    TEXT = 'text'
+    UPSTREAMS = 'upstreams'
+
+
+class Follower:
+    """Hold how far one collection was read.
+
+    `revision` is the store's revision that is known here; `current_until` is
+    when the last answer no longer proves that the view is current.
+    """
+
+    __slots__ = (
+        '_host',
+        'collection',
+        'current_until',
+        'failures',
+        'found',
+        'listed',
+        'listing_revision',
+        'lost',
+        'retry_at',
+        'revision',
+    )
+
+    def __init__(self, collection: Collection, host: str) -> None:
+        """Start with nothing read."""
+        self._host = host
+        self.collection = collection
+        self.current_until: float = 0
+        self.failures = 0
+        self.found: set[str] = set()
+        self.listed = False
+        self.listing_revision: int | None = None
+        self.lost = False
+        self.retry_at: float | None = None
+        self.revision = 0
+
+    def is_current(self, now: float) -> bool:
+        """Whether the view is known to be as new as the store."""
+        return self.listed and not self.lost and now < self.current_until
+
+    def begin_listing(self) -> Effect:
+        """Ask for the first page."""
+        self.found = set()
+        self.listing_revision = None
+        self.retry_at = None
+        return ReadPage(self.collection, '')
+
+    def next_page(self, names: list[str], revision: int) -> Effect:
+        """Ask for the page after one with `names`."""
+        self._note_page(names, revision)
+        return ReadPage(self.collection, names[-1])
+
+    def end_listing(self, names: list[str], revision: int, now: float) -> Effect:
+        """Take the last page and begin to watch.
+
+        Watching from the first page's revision repeats changes made while
+        pages were read instead of missing them.
+        """
+        self._note_page(names, revision)
+        self.revision = self.listing_revision or revision
+        self.listed = True
+        return self.watch(now)
+
+    def watch(self, now: float) -> Effect:
+        """Wait for changes after `revision`."""
+        self.failures = 0
+        self.lost = False
+        self.retry_at = None
+        self.current_until = now + WATCH_S + ANSWER_S
+        return WatchChanges(self.collection, self.revision, WATCH_S)
+
+    def fail(self, now: float) -> None:
+        """Plan the next try."""
+        most_s = MOST_WAIT_S if self.listed else MOST_WAIT_UNREAD_S
+        wait_s = min(most_s, FIRST_WAIT_S * 2 ** min(self.failures, _MOST_DOUBLINGS))
+        self.failures += 1
+        self.lost = True
+        spread = crc32(f'{self._host}/{self.collection}/{self.failures}'.encode()) % _SPREAD
+        self.retry_at = now + wait_s * (0.5 + spread / _SPREAD)
+
+    def retry(self) -> Effect:
+        """Go on where the failure was."""
+        self.retry_at = None
+        if self.listed:
+            return WatchChanges(self.collection, self.revision, PROVING_WATCH_S)
+        return self.begin_listing()
+
+    def _note_page(self, names: list[str], revision: int) -> None:
+        if self.listing_revision is None:
+            self.listing_revision = revision
+        self.found.update(names)
+
+
+_MOST_DOUBLINGS = 6
--- /dev/null
+++ b/src/bronzekeel/core/routing/journal.py
@@ -0,0 +1,39 @@
+"""Note the decisions that touch a flow, for the log."""
+
+from abc import ABC, abstractmethod
+
+from bronzekeel.core.routing.model import FlowPacket, Upstream
+
+
+class Decision:
+    """Hold one decision: what was done with a packet, and by which inputs."""
+
+    __slots__ = ('inputs', 'outcome', 'packet', 'upstream')
+
+    def __init__(
+        self,
+        outcome: str,
+        packet: FlowPacket,
+        inputs: str,
+        upstream: Upstream | None = None,
+    ) -> None:
+        """Keep the decision; `inputs` names the upstream or the reason."""
+        self.outcome = outcome
+        self.packet = packet
+        self.inputs = inputs
+        self.upstream = upstream
+
+
+class Journal(ABC):
+    """Take decisions and never fail: a log must not stop a packet."""
+
+    @abstractmethod
+    def note(self, decision: Decision, now: float) -> None:
+        """Take one decision."""
+
+
+class NoJournal(Journal):
+    """Keep nothing."""
+
+    def note(self, decision: Decision, now: float) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/src/bronzekeel/core/routing/model.py
@@ -0,0 +1,223 @@
+"""Hold what a balancer knows of routes and upstreams.
+
+Modules of this package import little: a balancer that has just started is in
+the dark until its first packet is forwarded.
+"""
+
+#: Bits of a connection id: both ends of a flow echo four bytes.
+CONNECTION_ID_BITS = 32
+_CONNECTION_ID_MASK = (1 << CONNECTION_ID_BITS) - 1
+
+
+class ServiceShare:
+    """Give one service its share of a route's new flows."""
+
+    __slots__ = ('service', 'weight')
+
+    def __init__(self, service: str, weight: int) -> None:
+        """Let `service` take `weight` parts."""
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Say which services take the new flows of one address and port.
+
+    `key` is the address and the port as six bytes.
+    """
+
+    __slots__ = ('key', 'name', 'seal', 'shares')
+
+    def __init__(self, key: bytes, name: str, shares: tuple[ServiceShare, ...], seal: int) -> None:
+        """Keep the route with the `seal` that marks its connection ids."""
+        self.key = key
+        self.name = name
+        self.shares = shares
+        self.seal = seal
+
+
+class RoutingText:
+    """Hold one accepted version of the operators' text.
+
+    `revision` orders texts from all sources; `generation` is the operators'
+    own number.  A flow that is silent for `idle_s` seconds may be forgotten.
+    """
+
+    __slots__ = ('generation', 'idle_s', 'revision', 'route_by_key')
+
+    def __init__(
+        self,
+        generation: int,
+        revision: int,
+        route_by_key: dict[bytes, Route],
+        idle_s: float,
+    ) -> None:
+        """Keep the routes by their address and port."""
+        self.generation = generation
+        self.revision = revision
+        self.route_by_key = route_by_key
+        self.idle_s = idle_s
+
+
+class UpstreamEntry:
+    """Hold what one upstream says of itself in the store.
+
+    `number` is its identity in packets; a process that starts anew gets
+    another one.  `cold_s` is how many more seconds it works slowly, counted
+    from when the entry was read.  `revision` orders entries of one upstream.
+    """
+
+    __slots__ = (
+        'address',
+        'cold_s',
+        'data_centre',
+        'draining',
+        'name',
+        'number',
+        'revision',
+        'service',
+        'slots',
+    )
+
+    def __init__(  # noqa: WPS211 (the fields of one record)
+        self,
+        *,
+        name: str,
+        number: int,
+        service: str,
+        address: tuple[str, int],
+        data_centre: str,
+        slots: int,
+        draining: bool,
+        cold_s: float,
+        revision: int,
+    ) -> None:
+        """Keep the fields as they were read."""
+        self.name = name
+        self.number = number
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = max(slots, 1)
+        self.draining = draining
+        self.cold_s = cold_s
+        self.revision = revision
+
+    @property
+    def short_number(self) -> int:
+        """The number folded to the width of a connection id."""
+        return (self.number ^ self.number >> CONNECTION_ID_BITS) & _CONNECTION_ID_MASK
+
+
+class Upstream:
+    """Hold one upstream: its newest entry, and what this balancer saw of it.
+
+    Presence: `missing_at` is when the store stopped listing it, None while it
+    is listed; from `gone_at` on it counts as gone.
+    Own sight: `open_flows` and `busy_flows` as packets of callers show them;
+    `unanswered` counts opening packets in a row that nothing came of, for
+    which it gets no new flows before `avoided_until`.
+    """
+
+    __slots__ = (
+        'avoided_until',
+        'busy_flows',
+        'entry',
+        'gone_at',
+        'left',
+        'missing_at',
+        'open_flows',
+        'unanswered',
+        'warm_at',
+    )
+
+    def __init__(self, entry: UpstreamEntry, now: float) -> None:
+        """Start with an upstream that was just listed."""
+        self.entry = entry
+        self.warm_at = now + entry.cold_s
+        self.missing_at: float | None = None
+        self.gone_at: float = 0
+        self.left = False
+        self.open_flows = 0
+        self.busy_flows = 0
+        self.unanswered = 0
+        self.avoided_until: float = 0
+
+    @property
+    def listed(self) -> bool:
+        """Whether the store lists it."""
+        return self.missing_at is None
+
+    def is_gone(self, now: float) -> bool:
+        """Whether its entry is gone and had the time to come back."""
+        return self.missing_at is not None and now >= self.gone_at
+
+    def takes_flows(self, now: float) -> bool:
+        """Whether new flows may be sent to it by what the store says."""
+        return not self.entry.draining and not self.is_gone(now)
+
+
+class FlowPacket:
+    """Hold one packet of a caller, decoded.
+
+    `flow` names the flow by twelve bytes: caller's address and port, then the
+    route's.  `copy` counts the repeats of an opening packet.  `sequence` and
+    `acknowledged` are positions in the two byte streams.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'closes',
+        'connection_id',
+        'copy',
+        'flow',
+        'opens',
+        'payload_bytes',
+        'raw',
+        'resets',
+        'route',
+        'sequence',
+    )
+
+    def __init__(  # noqa: WPS211 (the fields of one packet)
+        self,
+        flow: bytes,
+        route: bytes,
+        connection_id: int,
+        sequence: int,
+        acknowledged: int,
+        payload_bytes: int,
+        raw: bytes = b'',
+        *,
+        opens: bool = False,
+        closes: bool = False,
+        resets: bool = False,
+        copy: int = 0,
+    ) -> None:
+        """Keep the fields as they were decoded."""
+        self.flow = flow
+        self.route = route
+        self.connection_id = connection_id
+        self.sequence = sequence
+        self.acknowledged = acknowledged
+        self.payload_bytes = payload_bytes
+        self.raw = raw
+        self.opens = opens
+        self.closes = closes
+        self.resets = resets
+        self.copy = copy
+
+
+def flow_text(flow: bytes) -> str:
+    """Return a flow's name for people: ``caller:port>address:port``."""
+    if len(flow) != _FLOW_BYTES:
+        return flow.hex()
+    ends = []
+    for end in (flow[:6], flow[6:]):
+        address = '.'.join(str(octet) for octet in end[:4])
+        port = int.from_bytes(end[4:], 'big')
+        ends.append(f'{address}:{port}')
+    return '>'.join(ends)
+
+
+_FLOW_BYTES = 12
--- /dev/null
+++ b/src/bronzekeel/core/routing/placement.py
@@ -0,0 +1,94 @@
+"""Choose the upstream of a new flow."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+from bronzekeel.core.routing.model import Upstream
+
+
+#: Work of a cold upstream as a multiple of a warm one's.  Source: upstreams
+#: that have just started took 1.6 times as long; rounded up, since a cold one
+#: also serves its first flows worst.
+COLD_FACTOR = 2.0
+
+#: Load of an open flow that waits for nothing, in parts of one that does.
+#: Source: a feed asks about twice in five seconds for 40 ms of work.
+IDLE_FLOW_LOAD = 0.02
+
+
+class Placement(ABC):
+    """Choose among upstreams; every policy answers one load pattern."""
+
+    @abstractmethod
+    def choose(
+        self,
+        candidates: Iterable[Upstream],
+        tried: frozenset[str],
+        now: float,
+    ) -> Upstream | None:
+        """Return the upstream for a new flow, None if none may get it.
+
+        `tried` names those that left an earlier opening packet of the same
+        flow unanswered.
+        """
+
+
+class LeastBusy(Placement):
+    """Choose the least busy upstream of the own data centre, by own sight.
+
+    Load pattern: requests come in bursts and long feeds gather on upstreams
+    that started early.  Counting what this balancer has in progress at each
+    keeps both apart from busy upstreams without a word between balancers.
+    Another data centre is used only when the own has nobody that answers.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        """Prefer upstreams of `data_centre`."""
+        self._data_centre = data_centre
+        self._turn = 0
+
+    def choose(
+        self,
+        candidates: Iterable[Upstream],
+        tried: frozenset[str],
+        now: float,
+    ) -> Upstream | None:
+        """Return the upstream with the least load among the nearest that answer."""
+        best: Upstream | None = None
+        best_rank: tuple[float, ...] = ()
+        self._turn += 1
+        for place, upstream in enumerate(candidates):
+            if not upstream.takes_flows(now):
+                continue
+            rank = (*self._reluctance(upstream, tried, now), (place + self._turn) % _TURNS)
+            if best is None or rank < best_rank:
+                best = upstream
+                best_rank = rank
+        return best
+
+    def _reluctance(
+        self,
+        upstream: Upstream,
+        tried: frozenset[str],
+        now: float,
+    ) -> tuple[float, ...]:
+        """Rank an upstream; smaller is better.
+
+        One that was tried or that does not answer comes after all others of
+        any data centre, and is still better than nobody.
+        """
+        silent = upstream.entry.name in tried or now < upstream.avoided_until
+        far = upstream.entry.data_centre != self._data_centre
+        return (silent, upstream.missing_at is not None, far, load_of(upstream, now))
+
+
+def load_of(upstream: Upstream, now: float) -> float:
+    """Return the load of an upstream with one more flow, per slot."""
+    load = 1 + upstream.busy_flows + upstream.open_flows * IDLE_FLOW_LOAD
+    if now < upstream.warm_at:
+        load *= COLD_FACTOR
+    return load / upstream.entry.slots
+
+
+#: Upstreams of equal rank get flows in turn; more of them than this share turns.
+_TURNS = 64
--- /dev/null
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -0,0 +1,263 @@
+"""Reduce every event of a balancer that steers by connection ids to effects.
+
+Packets pass `core.routing.steering` directly; all that changes what the
+balancer believes of the store, its text and its upstreams passes here.
+"""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, End, WriteLine
+from bronzekeel.core.routing.events import (
+    CallFailed,
+    ChangesRead,
+    Event,
+    HistoryLost,
+    PageRead,
+    ProbeAnswered,
+    SettingsChanged,
+    Started,
+    StopAsked,
+    StoredObject,
+    Ticked,
+    Unreadable,
+)
+from bronzekeel.core.routing.follower import Collection, Follower
+from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
+from bronzekeel.core.routing.state import RoutingState
+
+
+#: Interval in seconds at which the daemon feeds ``Ticked``.
+#: Source: a tenth of a second late is little beside every wait decided here.
+TICK_S = 0.1
+
+#: Interval in seconds at which upstreams that are long gone are forgotten.
+_FORGET_EVERY_S = 5.0
+
+#: Seconds that a silent flow is remembered while no text is known.
+_IDLE_S = 15.0
+
+
+def reduce(state: RoutingState, event: Event, now: float) -> list[Effect]:
+    """Return what `event` asks the adapters to do, and note it in `state`."""
+    return _HANDLERS[type(event)](state, event, now)
+
+
+def _on_started(state: RoutingState, event: Started, now: float) -> list[Effect]:
+    return [follower.begin_listing() for follower in state.follower_by_collection.values()]
+
+
+def _on_page(state: RoutingState, event: PageRead, now: float) -> list[Effect]:
+    follower = state.follower_by_collection[Collection(event.collection)]
+    effects = _note_regained(state, follower, now)
+    for stored in event.objects:
+        effects.extend(_take(state, stored, now))
+    names = [listed.name for listed in event.objects]
+    if event.more and names:
+        effects.append(follower.next_page(names, event.revision))
+        return effects
+    effects.append(follower.end_listing(names, event.revision, now))
+    if follower.collection is Collection.UPSTREAMS:
+        effects.extend(_miss_unlisted(state, follower, now))
+    effects.extend(_become_ready(state))
+    return effects
+
+
+def _on_changes(state: RoutingState, event: ChangesRead, now: float) -> list[Effect]:
+    follower = state.follower_by_collection[Collection(event.collection)]
+    effects = _note_regained(state, follower, now)
+    for stored in event.objects:
+        effects.extend(_take(state, stored, now))
+    follower.revision = max(follower.revision, event.revision)
+    effects.append(follower.watch(now))
+    effects.extend(_become_ready(state))
+    return effects
+
+
+def _on_history_lost(state: RoutingState, event: HistoryLost, now: float) -> list[Effect]:
+    follower = state.follower_by_collection[Collection(event.collection)]
+    line = WriteLine(
+        LogNumber.HISTORY_LOST,
+        collection=event.collection,
+        revision=follower.revision,
+    )
+    return [line, follower.begin_listing()]
+
+
+def _on_failure(state: RoutingState, event: CallFailed, now: float) -> list[Effect]:
+    follower = state.follower_by_collection[Collection(event.collection)]
+    known = follower.lost
+    follower.fail(now)
+    if known:
+        return []
+    return [
+        WriteLine(
+            LogNumber.PLATFORM_LOST,
+            collection=event.collection,
+            problem=event.problem,
+            revision=follower.revision,
+        ),
+    ]
+
+
+def _note_regained(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
+    """Note that the store answers again.
+
+    Entries that lapsed during the outage get time to come back, counted from
+    here: without it a whole service would look gone right after an outage.
+    """
+    if not follower.lost:
+        return []
+    follower.lost = False
+    if follower.collection is Collection.UPSTREAMS:
+        state.directory.note_regained(now)
+    return [
+        WriteLine(
+            LogNumber.PLATFORM_BACK,
+            collection=follower.collection.value,
+            failures=follower.failures,
+        ),
+    ]
+
+
+def _take(state: RoutingState, stored: StoredObject, now: float) -> list[Effect]:
+    if isinstance(stored.content, RoutingText):
+        return _take_text(state, stored.content)
+    if isinstance(stored.content, UpstreamEntry):
+        return _take_entry(state, stored.content, now)
+    if isinstance(stored.content, Unreadable):
+        return [_bad_object(stored.name, stored.revision, stored.content.problem)]
+    missed = state.directory.miss(stored.name, now, stored.revision)
+    if missed is None:
+        return []
+    return [
+        WriteLine(
+            LogNumber.UPSTREAM_UNLISTED,
+            upstream=stored.name,
+            left=missed.left,
+            gone_in_s=round(missed.gone_at - now, 3),
+        ),
+    ]
+
+
+def _bad_object(name: str, revision: int, problem: str) -> Effect:
+    """Leave out what cannot be read; what was known before stays in force."""
+    return WriteLine(LogNumber.OBJECT_BAD, object=name, revision=revision, problem=problem)
+
+
+def _take_text(state: RoutingState, text: RoutingText) -> list[Effect]:
+    """Put a text in force unless a newer one is: views never go backward."""
+    known = state.text
+    if known is not None and text.revision <= known.revision:
+        if text.revision == known.revision:
+            return []
+        return [
+            WriteLine(
+                LogNumber.TEXT_OLDER,
+                generation=text.generation,
+                revision=text.revision,
+                in_force=known.revision,
+            ),
+        ]
+    state.text = text
+    return [
+        WriteLine(
+            LogNumber.TEXT_IN_FORCE,
+            generation=text.generation,
+            revision=text.revision,
+            routes=len(text.route_by_key),
+        ),
+    ]
+
+
+def _take_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
+    if not state.directory.take(entry, now):
+        return []
+    return [
+        WriteLine(
+            LogNumber.UPSTREAM_LISTED,
+            upstream=entry.name,
+            service=entry.service,
+            draining=entry.draining,
+            cold_s=entry.cold_s,
+            revision=entry.revision,
+        ),
+    ]
+
+
+def _miss_unlisted(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
+    """Note the upstreams that a complete listing does not have."""
+    effects: list[Effect] = []
+    for name in list(state.directory.by_name):
+        if name in follower.found:
+            continue
+        effects.extend(_take(state, StoredObject(name, 0, None), now))
+    return effects
+
+
+def _become_ready(state: RoutingState) -> list[Effect]:
+    """Take traffic once text and upstreams have been read."""
+    if state.ready or state.text is None:
+        return []
+    for follower in state.follower_by_collection.values():
+        if not follower.listed:
+            return []
+    state.ready = True
+    return [
+        WriteLine(
+            LogNumber.READY,
+            generation=state.text.generation,
+            upstreams=state.directory.listed_count,
+        ),
+    ]
+
+
+def _on_probe(state: RoutingState, event: ProbeAnswered, now: float) -> list[Effect]:
+    if not event.ready:
+        state.stopping.note_refusal()
+    return []
+
+
+def _on_stop(state: RoutingState, event: StopAsked, now: float) -> list[Effect]:
+    if state.stopping.asked:
+        return []
+    state.stopping.ask(now)
+    return [WriteLine(LogNumber.STOPPING, flows=len(state.flows))]
+
+
+def _on_settings(state: RoutingState, event: SettingsChanged, now: float) -> list[Effect]:
+    if event.problem:
+        return [WriteLine(LogNumber.SETTINGS_REFUSED, problem=event.problem)]
+    state.stopping.within_s = event.stop_within_s
+    return [WriteLine(LogNumber.SETTINGS_TAKEN, stop_within_s=event.stop_within_s)]
+
+
+def _on_tick(state: RoutingState, event: Ticked, now: float) -> list[Effect]:
+    state.flows.expire(state.text.idle_s if state.text else _IDLE_S, now)
+    if now >= state.forget_at:
+        state.forget_at = now + _FORGET_EVERY_S
+        state.directory.forget_old(now)
+    effects: list[Effect] = []
+    for follower in state.follower_by_collection.values():
+        if follower.retry_at is not None and now >= follower.retry_at:
+            effects.append(follower.retry())
+    if state.stopping.is_done(now):
+        effects.append(WriteLine(LogNumber.STOPPED, refusals=state.stopping.refusals))
+        effects.append(End())
+    return effects
+
+
+_HANDLERS: Mapping[type[Event], Callable[..., list[Effect]]] = MappingProxyType(
+    {
+        Started: _on_started,
+        Ticked: _on_tick,
+        PageRead: _on_page,
+        ChangesRead: _on_changes,
+        HistoryLost: _on_history_lost,
+        CallFailed: _on_failure,
+        ProbeAnswered: _on_probe,
+        StopAsked: _on_stop,
+        SettingsChanged: _on_settings,
+    },
+)
--- /dev/null
+++ b/src/bronzekeel/core/routing/steering.py
@@ -0,0 +1,150 @@
+"""Give packets that carry a connection id their verdicts."""
+
+from zlib import crc32
+
+from bronzekeel.core.routing.connection_ids import opened, sealed
+from bronzekeel.core.routing.flows import Flow
+from bronzekeel.core.routing.journal import Decision, Journal
+from bronzekeel.core.routing.model import FlowPacket, Route, ServiceShare, Upstream
+from bronzekeel.core.routing.placement import Placement
+from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.core.routing.verdicts import Deliver, Discard, Reason, Reset, Verdict
+from bronzekeel.core.steering.way import SteeringWay
+
+
+#: Seconds within which a repeated opening packet goes where the first went.
+#: What goes wrong without it: a balancer that was slow finds the packet and its
+#: repeat together, sends them to two upstreams, and both open the flow; the
+#: caller's packets then name whichever answered last.  Source: below the 0.2 s
+#: after which callers repeat, above the time that any link takes.
+COPY_GAP_S = 0.15
+
+#: Repeats after which a flow of an upstream that had announced its leaving,
+#: and then left, is reset.  Source: one repeat means 0.2 s without an answer.
+REPEATS_WHEN_LEFT = 1
+
+#: Repeats after which a flow of an upstream whose entry lapsed is reset: it
+#: may live and only be cut off from the store.  Source: two repeats mean 0.6 s
+#: without an answer, longer than any delay of a living upstream's link.
+REPEATS_WHEN_LAPSED = 2
+
+
+class ConnectionIdSteering(SteeringWay[FlowPacket, Verdict]):
+    """Steer by connection ids over one balancer's state."""
+
+    def __init__(self, state: RoutingState, placement: Placement, journal: Journal) -> None:
+        """Decide on `state`, choose by `placement`, and note decisions in `journal`."""
+        self._state = state
+        self._placement = placement
+        self._journal = journal
+
+    def decide(self, packet: FlowPacket, now: float) -> Verdict:
+        """Return what becomes of `packet`."""
+        text = self._state.text
+        if text is None:
+            return Discard(Reason.NO_TEXT)
+        route = text.route_by_key.get(packet.route)
+        if route is None:
+            return self._without_route(packet, now)
+        if packet.opens:
+            return self._open(packet, route, now)
+        return self._continue(packet, route, now)
+
+    def _without_route(self, packet: FlowPacket, now: float) -> Verdict:
+        """Refuse at once what no text allows, unless a newer text may.
+
+        A host that is cut off from the store may miss the text that added the
+        route; its silence lets the caller's repeat reach another host.
+        """
+        if not self._state.is_current(now):
+            return Discard(Reason.NO_ROUTE)
+        self._journal.note(Decision('refused', packet, Reason.NO_ROUTE), now)
+        return Reset(Reason.NO_ROUTE)
+
+    def _open(self, packet: FlowPacket, route: Route, now: float) -> Verdict:
+        flow = self._state.flows.find(packet.flow)
+        tried: frozenset[str] = frozenset()
+        if flow is not None and flow.upstream is not None and _is_repeat(packet, flow, now):
+            if now < flow.opened_at + COPY_GAP_S or flow.answered:
+                return Deliver(flow.upstream, _id_of(flow.upstream, route))
+            self._state.flows.blame(flow, now)
+            tried = flow.tried | {flow.upstream.entry.name}
+        service = _pick(route.shares, packet.flow)
+        candidates = self._state.directory.of_service(service)
+        upstream = self._placement.choose(candidates, tried, now)
+        if upstream is None:
+            return self._without_upstream(packet, now)
+        self._state.flows.place(packet.flow, upstream, now).tried = tried
+        self._journal.note(Decision('placed', packet, upstream.entry.name, upstream), now)
+        return Deliver(upstream, _id_of(upstream, route))
+
+    def _without_upstream(self, packet: FlowPacket, now: float) -> Verdict:
+        if not self._state.is_current(now):
+            return Discard(Reason.NO_UPSTREAM)
+        self._journal.note(Decision('refused', packet, Reason.NO_UPSTREAM), now)
+        return Reset(Reason.NO_UPSTREAM)
+
+    def _continue(self, packet: FlowPacket, route: Route, now: float) -> Verdict:
+        if not packet.connection_id:
+            return Discard(Reason.NO_CONNECTION_ID)
+        number = opened(packet.connection_id, route.seal)
+        upstream = self._state.directory.by_number.get(number)
+        flow = self._state.flows.see(packet, upstream, now)
+        if upstream is None:
+            return self._to_unknown(packet, flow, now)
+        if upstream.missing_at is not None and self._is_lost(upstream, flow, now):
+            self._journal.note(Decision('reset', packet, Reason.UPSTREAM_GONE, upstream), now)
+            return Reset(Reason.UPSTREAM_GONE)
+        return Deliver(upstream)
+
+    def _to_unknown(self, packet: FlowPacket, flow: Flow, now: float) -> Verdict:
+        """Reset a flow whose upstream nobody lists, once that is sure.
+
+        The entry may be on its way, so the listing must be settled and the
+        caller must have asked in vain for longer than an entry takes.
+        """
+        if flow.repeats < REPEATS_WHEN_LAPSED or not self._state.is_settled(now):
+            return Discard(Reason.UNKNOWN_CONNECTION_ID)
+        self._journal.note(Decision('reset', packet, Reason.UNKNOWN_CONNECTION_ID), now)
+        return Reset(Reason.UNKNOWN_CONNECTION_ID)
+
+    def _is_lost(self, upstream: Upstream, flow: Flow, now: float) -> bool:
+        """Whether a flow's upstream is surely gone.
+
+        It takes two witnesses: the store, which no longer lists the upstream
+        and is settled, and the caller, which repeats itself in vain.  The
+        store alone would break flows of an upstream that lives but cannot
+        reach the store; repeats alone those behind a link that loses packets.
+        """
+        if not upstream.is_gone(now) or not self._state.is_settled(now):
+            return False
+        needed = REPEATS_WHEN_LEFT if upstream.left else REPEATS_WHEN_LAPSED
+        return flow.repeats >= needed
+
+
+def _is_repeat(packet: FlowPacket, flow: Flow, now: float) -> bool:
+    """Whether an opening packet repeats the one that `flow` was placed by.
+
+    The counter is believed first; a packet without one that follows at once is
+    a duplicate made on the way.
+    """
+    return packet.copy > 0 or now < flow.opened_at + COPY_GAP_S
+
+
+def _id_of(upstream: Upstream, route: Route) -> int:
+    return sealed(upstream.entry.short_number, route.seal)
+
+
+def _pick(shares: tuple[ServiceShare, ...], flow: bytes) -> str:
+    """Return the service that takes a flow, by the shares' weights."""
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    if total <= 0:
+        return shares[0].service
+    place = crc32(flow) % total
+    for share in shares:
+        place -= share.weight
+        if place < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/src/bronzekeel/core/routing/verdicts.py
@@ -0,0 +1,55 @@
+"""Define what can become of a packet that carries a connection id."""
+
+from enum import StrEnum
+
+from bronzekeel.core.routing.model import Upstream
+
+
+class Reason(StrEnum):
+    """Name why a packet was dropped or answered by a reset."""
+
+    NO_ROUTE = 'no_route'
+    NO_TEXT = 'no_text'
+    NO_UPSTREAM = 'no_upstream'
+    NO_CONNECTION_ID = 'no_connection_id'
+    UNKNOWN_CONNECTION_ID = 'unknown_connection_id'
+    UPSTREAM_GONE = 'upstream_gone'
+    NOT_FROM_CALLER = 'not_from_caller'
+
+
+class Deliver:
+    """Send a packet to an upstream.
+
+    `connection_id` is to be written into an opening packet; zero leaves the
+    packet as the caller wrote it.
+    """
+
+    __slots__ = ('connection_id', 'upstream')
+
+    def __init__(self, upstream: Upstream, connection_id: int = 0) -> None:
+        """Deliver to `upstream`."""
+        self.upstream = upstream
+        self.connection_id = connection_id
+
+
+class Reset:
+    """Tell the caller at once that its flow has no upstream."""
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: Reason) -> None:
+        """Reset for `reason`."""
+        self.reason = reason
+
+
+class Discard:
+    """Drop a packet and count it by its reason."""
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: Reason) -> None:
+        """Drop for `reason`."""
+        self.reason = reason
+
+
+Verdict = Deliver | Reset | Discard
--- /dev/null
+++ b/src/bronzekeel/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run the lean daemon that steers by connection ids."""
--- /dev/null
+++ b/src/bronzekeel/entry/daemon.py
@@ -0,0 +1,231 @@
+"""Wire sockets and decisions into one running balancer."""
+
+from os import stat
+from signal import SIGHUP, SIGINT, SIGTERM, signal
+from time import monotonic
+from types import FrameType
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, End, ReadPage, WatchChanges, WriteLine
+from bronzekeel.core.routing.events import (
+    CallFailed,
+    Event,
+    ProbeAnswered,
+    SettingsChanged,
+    Started,
+    StopAsked,
+    Ticked,
+)
+from bronzekeel.core.routing.follower import ANSWER_S
+from bronzekeel.core.routing.placement import LeastBusy
+from bronzekeel.core.routing.reducer import TICK_S, reduce
+from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.core.routing.steering import ConnectionIdSteering
+from bronzekeel.entry.http_client import Call, HttpConnection
+from bronzekeel.entry.journal import LineJournal
+from bronzekeel.entry.lines import LineLog
+from bronzekeel.entry.loop import Loop
+from bronzekeel.entry.packets import PacketSocket
+from bronzekeel.entry.ports import PacketFormat, StoreCalls
+from bronzekeel.entry.readiness import ReadinessServer
+from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
+
+
+_STDOUT = 1
+
+#: Ticks between two looks at whether the settings file has changed.
+_SETTINGS_TICKS = 10
+
+
+class EntryBalancer:
+    """Own the state of one balancer and everything that touches it."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        packet_format: PacketFormat,
+        store_calls: StoreCalls,
+        stream: int = _STDOUT,
+    ) -> None:
+        """Bind all sockets; nothing is asked of the store before ``start``."""
+        self.loop = Loop()
+        self.state = RoutingState(settings.name, settings.stop_within_s)
+        self._calls = store_calls
+        self._lines = LineLog(settings.name, stream)
+        steering = ConnectionIdSteering(
+            self.state,
+            LeastBusy(settings.data_centre),
+            LineJournal(self._lines, self.state),
+        )
+        self.packets = PacketSocket(
+            self.loop,
+            settings.packets,
+            packet_format,
+            steering.decide,
+            self._note_bad_packet,
+        )
+        self.readiness = ReadinessServer(
+            self.loop,
+            settings.readiness,
+            settings.readiness_path,
+            self._answer_probe,
+        )
+        self._connection_by_collection = {
+            collection.value: HttpConnection(self.loop, settings.store)
+            for collection in self.state.follower_by_collection
+        }
+        self._next_tick_at = monotonic()
+
+    @property
+    def store_calls(self) -> int:
+        """Number of calls made to the store."""
+        connections = self._connection_by_collection.values()
+        return sum(connection.calls for connection in connections)
+
+    def start(self) -> None:
+        """Ask the store for everything and begin to tick."""
+        self._write(LogNumber.STARTED, {'packets': self.packets.port})
+        self.take(Started())
+        self._tick()
+
+    def take(self, event: Event) -> None:
+        """Reduce one event; a fault in one must not end the balancer."""
+        now = monotonic()
+        try:
+            effects = reduce(self.state, event, now)
+        except Exception as fault:
+            self._write(
+                LogNumber.INTERNAL_FAULT,
+                {'taken': type(event).__name__, 'problem': repr(fault)},
+            )
+            return
+        for effect in effects:
+            self._carry_out(effect, now)
+
+    def close(self) -> None:
+        """Free all sockets."""
+        self._lines.flush()
+        self.packets.close()
+        self.readiness.close()
+        for connection in self._connection_by_collection.values():
+            connection.close()
+        self.loop.close()
+
+    def _carry_out(self, effect: Effect, now: float) -> None:
+        if isinstance(effect, WriteLine):
+            self._lines.write(effect.number, effect.fields, now)
+        elif isinstance(effect, ReadPage):
+            self._read_page(effect, now)
+        elif isinstance(effect, WatchChanges):
+            self._watch(effect, now)
+        elif isinstance(effect, End):
+            self.loop.stop()
+
+    def _read_page(self, effect: ReadPage, now: float) -> None:
+        collection = effect.collection
+        self._connection_by_collection[collection].get(
+            Call(
+                self._calls.page_target(collection, effect.after),
+                now + ANSWER_S,
+                lambda status, body: self.take(self._calls.read_page(collection, status, body)),
+                lambda problem: self.take(CallFailed(collection, problem)),
+            ),
+        )
+
+    def _watch(self, effect: WatchChanges, now: float) -> None:
+        collection = effect.collection
+        self._connection_by_collection[collection].get(
+            Call(
+                self._calls.watch_target(collection, effect.revision, effect.wait_s),
+                now + effect.wait_s + ANSWER_S,
+                lambda status, body: self.take(
+                    self._calls.read_changes(collection, status, body),
+                ),
+                lambda problem: self.take(CallFailed(collection, problem)),
+            ),
+        )
+
+    def _tick(self) -> None:
+        self.state.stopping.last_packet_at = self.packets.last_packet_at
+        self.take(Ticked())
+        self._lines.flush()
+        self._next_tick_at = max(self._next_tick_at + TICK_S, monotonic())
+        self.loop.call_at(self._next_tick_at, self._tick)
+
+    def _answer_probe(self) -> bool:
+        ready = self.state.ready and not self.state.stopping.asked
+        self.take(ProbeAnswered(ready=ready))
+        return ready
+
+    def _note_bad_packet(self, kind: str, raw: bytes) -> None:
+        self._write(LogNumber.PACKET_BAD, {'kind': kind, 'bytes': len(raw)})
+
+    def _write(self, number: LogNumber, fields: dict[str, object]) -> None:
+        self._lines.write(number, fields, monotonic())
+
+
+class _Signals:
+    """Turn signals and a changed settings file into events."""
+
+    def __init__(self, balancer: EntryBalancer, path: str) -> None:
+        self._balancer = balancer
+        self._path = path
+        self._stop_asked = False
+        self._reload_asked = False
+        self._ticks = 0
+        self._seen = _stamp(path)
+        for number in (SIGTERM, SIGINT):
+            signal(number, self._on_stop)
+        signal(SIGHUP, self._on_reload)
+
+    def look(self) -> None:
+        """Take what has come since the last look; look again a tick later."""
+        self._balancer.loop.call_at(monotonic() + TICK_S, self.look)
+        if self._stop_asked:
+            self._stop_asked = False
+            self._balancer.take(StopAsked())
+        self._ticks += 1
+        if self._ticks % _SETTINGS_TICKS == 0 and _stamp(self._path) != self._seen:
+            self._reload_asked = True
+        if self._reload_asked:
+            self._reload_asked = False
+            self._reload()
+
+    def _reload(self) -> None:
+        self._seen = _stamp(self._path)
+        bound_s = self._balancer.state.stopping.within_s
+        try:
+            settings = read_entry_settings(self._path)
+        except SettingsError as fault:
+            self._balancer.take(SettingsChanged(bound_s, str(fault)))
+            return
+        self._balancer.take(SettingsChanged(settings.stop_within_s))
+
+    def _on_stop(self, number: int, frame: FrameType | None) -> None:
+        self._stop_asked = True
+
+    def _on_reload(self, number: int, frame: FrameType | None) -> None:
+        self._reload_asked = True
+
+
+def _stamp(path: str) -> tuple[int, int]:
+    """Return what changes when a file is written; zeroes while it cannot be read."""
+    try:
+        found = stat(path)
+    except OSError:
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
+def serve(path: str, packet_format: PacketFormat, store_calls: StoreCalls) -> None:
+    """Run one balancer until it is told to stop.
+
+    Raises SettingsError, and OSError when a port is taken.
+    """
+    settings = read_entry_settings(path)
+    balancer = EntryBalancer(settings, packet_format, store_calls)
+    signals = _Signals(balancer, path)
+    balancer.start()
+    signals.look()
+    balancer.loop.run()
+    balancer.close()
--- /dev/null
+++ b/src/bronzekeel/entry/journal.py
@@ -0,0 +1,48 @@
+"""Write the decisions that touch flows as log lines."""
+
+from types import MappingProxyType
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.journal import Decision, Journal
+from bronzekeel.core.routing.model import flow_text
+from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.entry.lines import LineLog
+
+
+_NUMBER_BY_OUTCOME = MappingProxyType(
+    {
+        'placed': LogNumber.FLOW_PLACED,
+        'refused': LogNumber.FLOW_REFUSED,
+        'reset': LogNumber.FLOW_RESET,
+    },
+)
+
+
+class LineJournal(Journal):
+    """Write a line for each decision, within the log's bounds."""
+
+    def __init__(self, lines: LineLog, state: RoutingState) -> None:
+        """Write to `lines`; `state` tells how old the inputs are."""
+        self._lines = lines
+        self._state = state
+
+    def note(self, decision: Decision, now: float) -> None:
+        """Write one decision with what decided it."""
+        number = _NUMBER_BY_OUTCOME[decision.outcome]
+        if not self._lines.wants(number, now):
+            return
+        packet = decision.packet
+        fields: dict[str, object] = {
+            'flow': flow_text(packet.flow),
+            'by': decision.inputs,
+            'copy': packet.copy,
+            'generation': self._state.text.generation if self._state.text else 0,
+        }
+        upstream = decision.upstream
+        if upstream is not None:
+            fields['upstream'] = upstream.entry.name
+            fields['revision'] = upstream.entry.revision
+            fields['busy'] = upstream.busy_flows
+            fields['open'] = upstream.open_flows
+            fields['unanswered'] = upstream.unanswered
+        self._lines.write(number, fields, now)
--- /dev/null
+++ b/src/bronzekeel/entry/ports.py
@@ -0,0 +1,52 @@
+"""Define what the daemon needs of the platform that it runs on.
+
+An implementation translates names, formats and calls, and decides nothing.
+"""
+
+from abc import ABC, abstractmethod
+
+from bronzekeel.core.routing.events import Event
+from bronzekeel.core.routing.model import FlowPacket, Upstream
+
+
+Address = tuple[str, int]
+Datagram = tuple[bytes, Address]
+
+
+class PacketFormat(ABC):
+    """Read and write datagrams."""
+
+    @abstractmethod
+    def read(self, raw: bytes) -> FlowPacket | str:
+        """Return the packet of a caller's datagram, or the kind of its fault."""
+
+    @abstractmethod
+    def delivery(self, packet: FlowPacket, upstream: Upstream, connection_id: int) -> Datagram:
+        """Return the datagram that brings a packet to an upstream.
+
+        A `connection_id` other than zero is written into the packet.
+        """
+
+    @abstractmethod
+    def reset(self, packet: FlowPacket) -> Datagram:
+        """Return the datagram that resets the packet's flow at its caller."""
+
+
+class StoreCalls(ABC):
+    """Spell the calls to the platform's object store and read their answers."""
+
+    @abstractmethod
+    def page_target(self, collection: str, after: str) -> str:
+        """Return the HTTP target that reads a page."""
+
+    @abstractmethod
+    def watch_target(self, collection: str, revision: int, wait_s: float) -> str:
+        """Return the HTTP target that waits for changes."""
+
+    @abstractmethod
+    def read_page(self, collection: str, status: int, body: bytes) -> Event:
+        """Return what the answer to a page tells."""
+
+    @abstractmethod
+    def read_changes(self, collection: str, status: int, body: bytes) -> Event:
+        """Return what the answer to a watch tells."""
--- /dev/null
+++ b/src/bronzekeel/entry/settings.py
@@ -0,0 +1,104 @@
+"""Read the settings of a balancer that steers by connection ids.
+
+Own settings are JSON.  Fields that are not known are left alone, since a newer
+platform may add some; a field of ours that is wrong ends the start with one line.
+"""
+
+from collections.abc import Mapping
+from json import JSONDecodeError
+from json import loads as decode_json
+from pathlib import Path
+from typing import Any
+
+
+_MOST_PORT = 65535
+_MOST_STOP_S = 3600
+_OCTETS = 4
+_MOST_OCTET = 255
+
+
+class SettingsError(ValueError):
+    """Tell what is wrong with the settings: file, place, problem, remedy."""
+
+
+class EntrySettings:
+    """Hold all settings of one balancer.
+
+    `packets`, `readiness` and `store` are addresses; `readiness_path` is what
+    the fabric's probes ask for; `stop_within_s` bounds a planned stop.
+    """
+
+    __slots__ = (
+        'data_centre',
+        'name',
+        'packets',
+        'readiness',
+        'readiness_path',
+        'stop_within_s',
+        'store',
+    )
+
+    def __init__(self, fields: Mapping[str, Any]) -> None:
+        """Check and keep the fields.  Raises SettingsError."""
+        self.name = _text(fields, 'name')
+        self.data_centre = _text(fields, 'data_centre')
+        self.packets = _address(fields, 'packets')
+        self.readiness = _address(fields, 'readiness')
+        self.readiness_path = _text(fields, 'readiness_path')
+        self.store = _address(fields, 'store')
+        self.stop_within_s = _seconds(fields, 'stop_within_s')
+
+
+def read_entry_settings(path: Path | str) -> EntrySettings:
+    """Return the settings in a file.
+
+    Raises SettingsError with one line for the operator.
+    """
+    fields = _read_object(path)
+    try:
+        return EntrySettings(fields)
+    except SettingsError as fault:
+        raise SettingsError(f'{path}: {fault}; correct it, see docs/OPERATIONS.md') from fault
+
+
+def _read_object(path: Path | str) -> dict[str, Any]:
+    try:
+        with open(path, encoding='utf-8') as lines:
+            fields = decode_json(lines.read())
+    except OSError as fault:
+        raise SettingsError(f'{path}: {fault.strerror}; name a readable file') from fault
+    except (JSONDecodeError, UnicodeDecodeError) as fault:
+        raise SettingsError(f'{path}: $: {fault}; write the settings as JSON') from fault
+    if not isinstance(fields, dict):
+        raise SettingsError(f'{path}: $: no JSON object; write the settings as one object')
+    return fields
+
+
+def _text(fields: Mapping[str, Any], name: str) -> str:
+    found = fields.get(name)
+    if not isinstance(found, str) or not found:
+        raise SettingsError(f'$.{name}: {found!r} is no text')
+    return found
+
+
+def _address(fields: Mapping[str, Any], name: str) -> tuple[str, int]:
+    found = _text(fields, name)
+    host, _, port = found.rpartition(':')
+    octets = host.split('.')
+    is_ip = len(octets) == _OCTETS and all(_is_octet(octet) for octet in octets)
+    if not is_ip or not port.isdecimal() or int(port) > _MOST_PORT:
+        raise SettingsError(f'$.{name}: {found!r} is no IPv4 number with a port')
+    return host, int(port)
+
+
+def _is_octet(octet: str) -> bool:
+    return octet.isdecimal() and int(octet) <= _MOST_OCTET
+
+
+def _seconds(fields: Mapping[str, Any], name: str) -> float:
+    found = fields.get(name)
+    if isinstance(found, bool) or not isinstance(found, (int, float)):
+        raise SettingsError(f'$.{name}: {found!r} is no number of seconds')
+    if not 0 < found <= _MOST_STOP_S:
+        raise SettingsError(f'$.{name}: {found} is not between 0 and {_MOST_STOP_S}')
+    return float(found)
--- /dev/null
+++ b/src/bronzekeel/platform/objects.py
@@ -0,0 +1,151 @@
+"""Spell calls to the platform's object store, and read its objects.
+
+Its names are decoded here once.  Those that mislead:
+
+- `pathPrefix` of a route is a port between slashes, `host` an IP number;
+- `capacity` of a server is how many requests it works on at once;
+- `warmupLeftMs` counts from when the entry was written;
+- `storeRevision` is the store's newest revision, `revision` an object's.
+"""
+
+from json import loads as decode_json
+from socket import inet_aton
+from types import MappingProxyType
+from typing import Any
+from urllib.parse import quote
+
+from bronzekeel.core.routing.connection_ids import seal_of
+from bronzekeel.core.routing.events import (
+    CallFailed,
+    ChangesRead,
+    Event,
+    HistoryLost,
+    PageRead,
+    StoredObject,
+    Unreadable,
+)
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.entry.ports import StoreCalls
+
+
+_KIND_BY_COLLECTION = MappingProxyType(
+    {Collection.TEXT.value: 'config', Collection.UPSTREAMS.value: 'servers'},
+)
+_TEXT_NAME = 'main'
+_OK = 200
+_GONE = 410
+_MS = 1000
+_HEX = 16
+_DEFAULT_IDLE_MS = 15_000
+
+#: What a field of the wrong kind raises while it is read.
+_FORMAT_FAULTS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, OSError)
+
+
+class PlatformStore(StoreCalls):
+    """Translate between the balancer's collections and the store's kinds."""
+
+    def page_target(self, collection: str, after: str) -> str:
+        """Return the target that lists a kind."""
+        query = f'?after={quote(after)}' if after else ''
+        return f'/v1/objects/{_KIND_BY_COLLECTION[collection]}{query}'
+
+    def watch_target(self, collection: str, revision: int, wait_s: float) -> str:
+        """Return the target that waits for a kind's changes."""
+        wait_ms = round(wait_s * _MS)
+        kind = _KIND_BY_COLLECTION[collection]
+        return f'/v1/objects/{kind}?watch={revision}&waitMs={wait_ms}'
+
+    def read_page(self, collection: str, status: int, body: bytes) -> Event:
+        """Return what the answer to a page tells."""
+        if status != _OK:
+            return CallFailed(collection, f'the store answered {status}')
+        try:
+            page = decode_json(body)
+            objects = [_stored(collection, item, removed=False) for item in page['items']]
+            return PageRead(
+                collection,
+                objects,
+                int(page['storeRevision']),
+                more=bool(page.get('hasMore')),
+            )
+        except _FORMAT_FAULTS as fault:
+            return CallFailed(collection, f'page unreadable: {fault!r}')
+
+    def read_changes(self, collection: str, status: int, body: bytes) -> Event:
+        """Return what the answer to a watch tells."""
+        if status == _GONE:
+            return HistoryLost(collection)
+        if status != _OK:
+            return CallFailed(collection, f'the store answered {status}')
+        try:
+            answer = decode_json(body)
+            objects = [
+                _stored(collection, event['object'], removed=bool(event.get('tombstone')))
+                for event in answer.get('events') or ()
+            ]
+            return ChangesRead(collection, objects, int(answer['storeRevision']))
+        except _FORMAT_FAULTS as fault:
+            return CallFailed(collection, f'changes unreadable: {fault!r}')
+
+
+def _stored(collection: str, item: dict[str, Any], *, removed: bool) -> StoredObject:
+    """Return an object; one whose content is unreadable is marked so."""
+    meta = item['meta']
+    name = str(meta['name'])
+    revision = int(meta['revision'])
+    if removed:
+        return StoredObject(name, revision, None)
+    try:
+        if collection == Collection.UPSTREAMS:
+            return StoredObject(name, revision, _upstream(name, revision, item['spec']))
+        if name != _TEXT_NAME:
+            return StoredObject(name, revision, Unreadable('no text under this name'))
+        return StoredObject(name, revision, _text(revision, item['spec']))
+    except _FORMAT_FAULTS as fault:
+        return StoredObject(name, revision, Unreadable(repr(fault)))
+
+
+def _upstream(name: str, revision: int, spec: dict[str, Any]) -> UpstreamEntry:
+    host, _, port = spec['address'].rpartition(':')
+    inet_aton(host)
+    return UpstreamEntry(
+        name=name,
+        number=_number(name),
+        service=str(spec['service']),
+        address=(host, int(port)),
+        data_centre=str(spec['zone']),
+        slots=int(spec.get('capacity') or 1),
+        draining=spec.get('state') == 'draining',
+        cold_s=int(spec.get('warmupLeftMs') or 0) / _MS,
+        revision=revision,
+    )
+
+
+def _number(name: str) -> int:
+    """Return the number that stands before packets: the hex digits of the id."""
+    digits = name.rpartition('-')[2]
+    return int(digits, _HEX)
+
+
+def _text(revision: int, spec: dict[str, Any]) -> RoutingText:
+    route_by_key = {}
+    for item in spec['routes']:
+        route = _route(item)
+        route_by_key[route.key] = route
+    limits = spec.get('limits') or {}
+    idle_ms = int(limits.get('idleTimeoutMs') or _DEFAULT_IDLE_MS)
+    return RoutingText(int(spec['version']), revision, route_by_key, idle_ms / _MS)
+
+
+def _route(item: dict[str, Any]) -> Route:
+    port = int(item['pathPrefix'].strip('/'))
+    key = inet_aton(item['host']) + port.to_bytes(2, 'big')
+    shares = tuple(
+        ServiceShare(str(part['service']), int(part.get('weight') or 0))
+        for part in item.get('backends') or ()
+    )
+    if not shares:
+        shares = (ServiceShare(str(item['service']), 1),)
+    return Route(key, str(item['name']), shares, seal_of(key))
--- /dev/null
+++ b/src/bronzekeel/platform/packets.py
@@ -0,0 +1,90 @@
+"""Read and write the platform's packets.
+
+A datagram from a caller is a head and up to 1,200 bytes of payload.  The page
+gives the head's order and widths for all deployments of this product.
+"""
+
+from socket import inet_ntoa
+from struct import Struct
+
+from bronzekeel.core.routing.model import FlowPacket, Upstream
+from bronzekeel.entry.ports import Datagram, PacketFormat
+
+
+#: len, sum, dst, sport, dport, src, echo, flags, seq, ack; all big-endian.
+_HEAD = Struct('>HI4sHH4sIBII')
+_MOST_PAYLOAD = 1200
+
+#: Places of fields that are taken or written as bytes.
+_ECHO = slice(18, 22)
+_TARGET_ADDRESS = slice(6, 10)
+_SOURCE_PORT = slice(10, 12)
+_TARGET_PORT = slice(12, 14)
+_SOURCE_ADDRESS = slice(14, 18)
+
+_SYN = 1
+_ACK = 128
+_FIN = 32
+_RST = 64
+
+_NUMBER_BYTES = 8
+_ECHO_BYTES = 4
+
+
+class PlatformPackets(PacketFormat):
+    """Read callers' datagrams; write those for upstreams and for callers."""
+
+    def __init__(self, caller_port: int) -> None:
+        """Send to callers at `caller_port`: all of them take packets there."""
+        self._caller_port = caller_port
+
+    def read(self, raw: bytes) -> FlowPacket | str:
+        """Return the packet of a caller's datagram, or the kind of its fault."""
+        if len(raw) < _HEAD.size:
+            return 'truncated'
+        length, _, _, _, _, _, echo, flags, sequence, acknowledged = _HEAD.unpack_from(raw)
+        if length > _MOST_PAYLOAD or len(raw) != _HEAD.size + length:
+            return 'wrong_length'
+        if flags & _SYN and flags & (_ACK | _FIN | _RST):
+            return 'not_from_caller'
+        route = raw[_TARGET_ADDRESS] + raw[_TARGET_PORT]
+        return FlowPacket(
+            raw[_SOURCE_ADDRESS] + raw[_SOURCE_PORT] + route,
+            route,
+            echo,
+            sequence,
+            acknowledged,
+            length,
+            raw,
+            opens=bool(flags & _SYN),
+            closes=bool(flags & _FIN),
+            resets=bool(flags & _RST),
+            # On an opening packet the acknowledgement field counts its repeats.
+            copy=acknowledged if flags & _SYN else 0,
+        )
+
+    def delivery(self, packet: FlowPacket, upstream: Upstream, connection_id: int) -> Datagram:
+        """Return the packet behind the number of the upstream that is meant."""
+        number = upstream.entry.number.to_bytes(_NUMBER_BYTES, 'big')
+        raw = packet.raw
+        if connection_id:
+            echo = connection_id.to_bytes(_ECHO_BYTES, 'big')
+            raw = raw[: _ECHO.start] + echo + raw[_ECHO.stop :]
+        return number + raw, upstream.entry.address
+
+    def reset(self, packet: FlowPacket) -> Datagram:
+        """Return a reset from the route to the caller, within its window."""
+        raw = packet.raw
+        head = _HEAD.pack(
+            0,
+            0,
+            raw[_SOURCE_ADDRESS],
+            int.from_bytes(raw[_TARGET_PORT], 'big'),
+            int.from_bytes(raw[_SOURCE_PORT], 'big'),
+            raw[_TARGET_ADDRESS],
+            0,
+            _RST,
+            packet.acknowledged,
+            0,
+        )
+        return head, (inet_ntoa(raw[_SOURCE_ADDRESS]), self._caller_port)
