Put both ways of steering behind one class and the store behind one page

Cause: the command line and the keepers' daemon spoke an object API that the stand-in had made up; the platform publishes another. Two copies would drift.

Change: PlatformClient speaks the published page and sits in platform/ with the spelling of calls; the stand-in serves that page.

--- a/src/bronzekeel/adapters/rollout.py
+++ b/src/bronzekeel/adapters/rollout.py
@@ -8,7 +8,7 @@
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode
 
-from bronzekeel.adapters.platform import HOSTS_KEY, PlatformClient
+from bronzekeel.platform.client import HOSTS_KEY, PlatformClient
 from bronzekeel.core.events import Event, HostsListed, TextAccepted
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.messages import HostEntry
--- a/src/bronzekeel/balancer/daemon.py
+++ b/src/bronzekeel/balancer/daemon.py
@@ -1,7 +1,6 @@
 """Wire adapters and reducer into one running balancer."""
 
-from asyncio import Event as AsyncEvent
-from asyncio import get_running_loop, wait_for
+from asyncio import Event as AsyncEvent, get_running_loop, wait_for
 from collections import Counter
 from collections.abc import Callable
 from logging import getLogger
@@ -17,7 +16,7 @@
 from bronzekeel.adapters.health import HealthProber
 from bronzekeel.adapters.packets import PacketSocket
 from bronzekeel.adapters.peers import Peers
-from bronzekeel.adapters.platform import PlatformClient
+from bronzekeel.platform.client import PlatformClient
 from bronzekeel.adapters.rollout import TextSource
 from bronzekeel.adapters.upstreams import Upstreams
 from bronzekeel.balancer.logs import log_event
@@ -44,16 +43,16 @@
     Event,
     HostsListed,
     Packet,
-    PacketArrived,
     PeerSaid,
     StopAsked,
     Ticked,
 )
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.messages import HostEntry, Message
-from bronzekeel.core.reducer import packet_verdict, reduce
+from bronzekeel.core.reducer import reduce
 from bronzekeel.core.requests.keepers import kept_upstreams
 from bronzekeel.core.state import BalancerState
+from bronzekeel.core.steering.by_keepers import KeeperSteering
 from bronzekeel.report.outcomes import OutcomeLine, OutcomeRecorder
 
 
@@ -86,6 +85,7 @@
         self.callers = Callers(self.events.on_next, clock, self._note_end)
         self.platform = PlatformClient(settings.platform)
         self.state: BalancerState | None = None
+        self._steering: KeeperSteering | None = None
         self.me: HostEntry | None = None
         self._clock = clock
         self._texts = TextSource(self.platform, self.events.on_next)
@@ -153,6 +153,7 @@
         incarnation = time_ns() // _NANOSECONDS_IN_MS
         now = self._clock()
         self.state = BalancerState.fresh(self.me, incarnation, now)
+        self._steering = KeeperSteering(self.state, self.effects.on_next)
         self._recorder.begin(now, self.me, incarnation)
         self.events.subscribe(self._reduce)
         self.effects.subscribe(self._carry_out)
@@ -225,19 +226,10 @@
         self._handlers[type(effect)](effect)
 
     def _decide(self, packet: Packet) -> Forward | Hand | Drop:
-        """Give the verdict on a packet; only one that changes state is an event."""
-        if self.state is None:
+        """Give the verdict on a packet; nothing is known before the start."""
+        if self._steering is None:
             return Drop('not_ready')
-        now = self._clock()
-        verdict = packet_verdict(self.state, packet, now)
-        if verdict is not None:
-            return verdict
-        for effect in reduce(self.state, PacketArrived(packet), now):
-            if isinstance(effect, (Forward, Hand, Drop)):
-                verdict = effect
-            else:
-                self.effects.on_next(effect)
-        return verdict or Drop('not_ready')
+        return self._steering.decide(packet, self._clock())
 
     def _kept_upstreams(self) -> list[tuple[str, str]]:
         return kept_upstreams(self.state, self._clock()) if self.state else []
--- a/src/bronzekeel/balancer/settings.py
+++ b/src/bronzekeel/balancer/settings.py
@@ -8,6 +8,7 @@
 from msgspec.json import decode
 
 from bronzekeel.core.messages import HostEntry
+from bronzekeel.entry.settings import STEERING
 
 
 _MOST_PORT = 65535
@@ -66,6 +67,7 @@
     seeds: tuple[Seed, ...] = ()
     record: str = ''
     outcomes: str = ''
+    steering: Literal['keepers'] = 'keepers'
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     stop_within_s: Annotated[float, Meta(gt=0, le=_MOST_STOP_S)] = 30
 
@@ -92,3 +94,22 @@
         ) from fault
     except DecodeError as fault:
         raise SettingsError(f'{path}: $: {fault}; write the settings as JSON') from fault
+
+
+def steers_by_connection_ids(path: Path) -> bool:
+    """Whether a settings file chooses the daemon that steers by connection ids.
+
+    A file that cannot be read is left to the reader of its daemon, which says
+    what is wrong with it.
+    """
+    try:
+        choice = decode(path.read_bytes(), type=_Choice)
+    except (OSError, DecodeError):
+        return False
+    return choice.steering == STEERING
+
+
+class _Choice(Struct):
+    """Hold the one setting that both daemons have in common."""
+
+    steering: str = ''
--- a/src/bronzekeel/bench/forward.py
+++ b/src/bronzekeel/bench/forward.py
@@ -15,11 +15,12 @@
 from bronzekeel.bench.base import Benchmark
 from bronzekeel.bench.flow_trials import bench_hosts, portal
 from bronzekeel.core.catalogue import Catalogue
-from bronzekeel.core.effects import Drop, Forward, Hand
-from bronzekeel.core.events import Packet, PacketArrived
+from bronzekeel.core.effects import Drop, Effect, Forward, Hand
+from bronzekeel.core.events import Packet
 from bronzekeel.core.hashing import service_key
-from bronzekeel.core.reducer import packet_verdict, reduce
+from bronzekeel.core.reducer import packet_verdict
 from bronzekeel.core.state import BalancerState
+from bronzekeel.core.steering.by_keepers import KeeperSteering
 from bronzekeel.core.steering.keeper import announce
 from bronzekeel.core.steering.registers import Stage
 from bronzekeel.replay.fleet import Fleet
@@ -76,6 +77,7 @@
         self._source = _udp()
         self._floor_in = _udp()
         self._state = _ready_state(self._sink.getsockname())
+        self._steering = KeeperSteering(self._state, _ignore)
         self._path = PacketSocket(_LOOPBACK, 0, self._decide, self._handed_address)
         self._settled = self._packets(Stage.SETTLED)
         self._acting = self._packets(Stage.ACTING)
@@ -144,14 +146,7 @@
             self._floor_in.sendto(raw, target)
 
     def _decide(self, packet: Packet) -> Forward | Hand | Drop:
-        now = monotonic()
-        verdict = packet_verdict(self._state, packet, now)
-        if verdict is not None:
-            return verdict
-        effect = reduce(self._state, PacketArrived(packet), now)[0]
-        if isinstance(effect, (Forward, Hand, Drop)):
-            return effect
-        return Drop('not_ready')
+        return self._steering.decide(packet, monotonic())
 
     def _handed_address(self, name: str) -> tuple[str, int]:
         return self._sink.getsockname()
@@ -204,6 +199,10 @@
     return (perf_counter() - begun_at) / 50_000 * 1e6
 
 
+def _ignore(effect: Effect) -> None:
+    """Leave out effects beside verdicts: they are not timed."""
+
+
 def _udp() -> socket:
     made = socket(AF_INET, SOCK_DGRAM)
     made.setsockopt(SOL_SOCKET, SO_RCVBUF, _BUFFER)
--- a/src/bronzekeel/commands/balancer.py
+++ b/src/bronzekeel/commands/balancer.py
@@ -8,10 +8,16 @@
 
 from bronzekeel.balancer.daemon import Balancer
 from bronzekeel.balancer.logs import configure
-from bronzekeel.balancer.settings import Settings, SettingsError, read_settings
+from bronzekeel.balancer.settings import (
+    Settings,
+    SettingsError,
+    read_settings,
+    steers_by_connection_ids,
+)
 from bronzekeel.balancer.web import StatusServer
 from bronzekeel.commands.base import Command, ExitCode
 from bronzekeel.commands.output import complain
+from bronzekeel.platform.start import serve_on_platform
 
 
 class BalancerCommand(Command):
@@ -26,8 +32,10 @@
         parser.add_argument('--settings', type=Path, required=True, metavar='FILE')
 
     def run(self, options: Namespace) -> ExitCode:
-        """Run until SIGTERM or SIGINT."""
+        """Run until SIGTERM or SIGINT; the setting `steering` chooses the daemon."""
         try:
+            if steers_by_connection_ids(options.settings):
+                return ExitCode(serve_on_platform(str(options.settings)))
             settings = read_settings(options.settings)
         except SettingsError as fault:
             complain(fault)
--- a/src/bronzekeel/commands/texts.py
+++ b/src/bronzekeel/commands/texts.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from uuid import uuid4
 
-from bronzekeel.adapters.platform import PlatformClient
+from bronzekeel.platform.client import PlatformClient
 from bronzekeel.commands.base import Command, ExitCode
 from bronzekeel.commands.output import complain, say
 from bronzekeel.text.checks import check_change, parse_text
--- a/src/bronzekeel/demo/site.py
+++ b/src/bronzekeel/demo/site.py
@@ -6,7 +6,7 @@
 
 from msgspec.json import encode
 
-from bronzekeel.adapters.platform import HOSTS_KEY, PlatformClient
+from bronzekeel.platform.client import HOSTS_KEY, PlatformClient
 from bronzekeel.balancer.daemon import Balancer
 from bronzekeel.balancer.settings import Settings
 from bronzekeel.core.messages import HostEntry
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -10,6 +10,9 @@
 from typing import Any
 
 
+#: Value of the setting `steering` that chooses this daemon.
+STEERING = 'connection_ids'
+
 _MOST_PORT = 65535
 _MOST_STOP_S = 3600
 _OCTETS = 4
@@ -46,6 +49,8 @@
         self.readiness_path = _text(fields, 'readiness_path')
         self.store = _address(fields, 'store')
         self.stop_within_s = _seconds(fields, 'stop_within_s')
+        if fields.get('steering') != STEERING:
+            raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
 
 
 def read_entry_settings(path: str) -> EntrySettings:
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -26,6 +26,7 @@
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
 from bronzekeel.entry.ports import StoreCalls
+from bronzekeel.platform.calls import list_target, watch_target
 
 
 _KIND_BY_COLLECTION = MappingProxyType(
@@ -47,14 +48,11 @@
 
     def page_target(self, collection: str, after: str) -> str:
         """Return the target that lists a kind."""
-        query = f'?after={_percent_encoded(after)}' if after else ''
-        return f'/v1/objects/{_KIND_BY_COLLECTION[collection]}{query}'
+        return list_target(_KIND_BY_COLLECTION[collection], after)
 
     def watch_target(self, collection: str, revision: int, wait_s: float) -> str:
         """Return the target that waits for a kind's changes."""
-        wait_ms = round(wait_s * _MS)
-        kind = _KIND_BY_COLLECTION[collection]
-        return f'/v1/objects/{kind}?watch={revision}&waitMs={wait_ms}'
+        return watch_target(_KIND_BY_COLLECTION[collection], revision, wait_s)
 
     def read_page(self, collection: str, status: int, body: bytes) -> Event:
         """Return what the answer to a page tells."""
@@ -89,15 +87,6 @@
             return CallFailed(collection, f'changes unreadable: {fault!r}')
 
 
-def _percent_encoded(name: str) -> str:
-    """Return a name for a query, every byte of it encoded.
-
-    The library's function takes 11 ms of processor time to import.
-    """
-    octets = name.encode().hex('%')
-    return f'%{octets}'
-
-
 def _stored(collection: str, item: dict[str, Any], *, removed: bool) -> StoredObject:
     """Return an object; one whose content is unreadable is marked so."""
     meta = item['meta']
--- a/src/bronzekeel/platform/start.py
+++ b/src/bronzekeel/platform/start.py
@@ -12,9 +12,8 @@
 _SETTINGS_VARIABLE = 'BRONZEKEEL_NODE_FILE'
 
 
-def main() -> int:
+def serve_on_platform(path: str) -> int:
     """Run until the platform stops it; return the exit code."""
-    path = environ.get(_SETTINGS_VARIABLE, '')
     try:
         settings = read_entry_settings(path)
         serve(path, PlatformPackets(settings.packets[1]), PlatformStore())
@@ -25,3 +24,8 @@
         sys.stderr.write(f'{fault}; free the port or change the address\n')
         return 1
     return 0
+
+
+def main() -> int:
+    """Run with the settings that the platform names; return the exit code."""
+    return serve_on_platform(environ.get(_SETTINGS_VARIABLE, ''))
--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -1,84 +1,162 @@
-"""Stand in for the platform's object API, with its faults."""
+"""Stand in for the platform's object store, with its faults."""
 
-from asyncio import Condition, sleep, wait_for
+from asyncio import Condition, Event, sleep, wait_for
 from dataclasses import dataclass, field
 from functools import partial
-from random import Random
+from typing import Any
 
 from aiohttp import web
 
+from bronzekeel.platform.client import Key, spec_of
 
-_MOST_BYTES = 1024 * 1024
-_CHANGED = 412
+
+_MOST_BYTES = 2 * 1024 * 1024
+_CONFLICT = 409
+_GONE = 410
 _TOO_MANY = 429
 _DOWN = 503
 _NOT_FOUND = 404
-_NO_CONTENT = 204
+_MS = 1000
+_PLACE = '/v1/objects/{kind}/{name}'
 
 
 @dataclass(slots=True)
 class _Held:
-    version: int
-    body: bytes
+    """Hold one object as the store has it."""
+
+    kind: str
+    name: str
+    created: int
+    revision: int = 0
+    spec: Any = None
+    status: Any = None
+    finalizers: list[str] = field(default_factory=list)
+    deleting: bool = False
+
+    def answer(self) -> dict[str, Any]:
+        """Return the object as it goes over the wire."""
+        return {
+            'meta': {
+                'name': self.name,
+                'revision': self.revision,
+                'createRevision': self.created,
+                'finalizers': list(self.finalizers),
+                'deleting': self.deleting,
+            },
+            'spec': self.spec,
+            'status': self.status,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """Hold one change of the history."""
+
+    revision: int
+    kind: str
+    content: dict[str, Any]
+    removed: bool
 
 
 @dataclass(slots=True)
 class PlatformStandIn:
-    """Serve objects with versions, conditional updates and watches.
+    """Serve objects by kind and name with revisions, conditions and watches.
 
-    `down` answers 503, `latency_s` delays, `confirmations_to_lose` closes the
-    connection after a write took effect, `calls_left` answers 429 at zero,
-    `stale` answers with the version before the newest.
+    `down` answers 503, `silent` never answers, `latency_s` delays,
+    `confirmations_to_lose` closes the connection after a write took effect,
+    `calls_left` answers 429 at zero, `stale` answers serializable reads with
+    what was before the last change, `page_size` cuts lists.
     """
 
-    seed: int = 0
     down: bool = False
+    silent: bool = False
     latency_s: float = 0.002
     confirmations_to_lose: int = 0
     calls_left: int | None = None
     stale: bool = False
+    page_size: int = 500
     calls: int = 0
-    objects: dict[str, list[_Held]] = field(default_factory=dict)
+    revision: int = 0
     port: int = 0
+    by_place: dict[tuple[str, str], _Held] = field(default_factory=dict)
+    _history: list[_Change] = field(default_factory=list)
+    _history_from: int = 0
     _runner: web.AppRunner | None = None
     _changed: Condition = field(default_factory=Condition)
-    _random: Random = field(default_factory=Random)
 
     @property
     def url(self) -> str:
         """Where clients find it."""
         return f'http://127.0.0.1:{self.port}'
 
-    async def open(self) -> None:
-        """Bind a free port on loopback."""
+    async def open(self, port: int = 0) -> None:
+        """Bind a port on loopback; 0 takes a free one."""
         app = web.Application(client_max_size=_MOST_BYTES)
-        app.router.add_get('/objects/{key:.+}', self._get)
-        app.router.add_put('/objects/{key:.+}', self._put)
-        self._runner = web.AppRunner(app, access_log=None)
+        app.router.add_get('/v1/objects/{kind}', self._list)
+        app.router.add_post('/v1/objects/{kind}', self._create)
+        app.router.add_get(_PLACE, self._get)
+        app.router.add_put(_PLACE, self._replace)
+        app.router.add_delete(_PLACE, self._delete)
+        app.router.add_put(f'{_PLACE}/status', self._replace_status)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, '127.0.0.1', 0).start()
+        await web.TCPSite(self._runner, '127.0.0.1', port).start()
         self.port = self._runner.addresses[0][1]
 
     async def close(self) -> None:
         """End waiting watches and free the port."""
+        self.silent = False
         await self.switch(down=True)
         if self._runner is not None:
             await self._runner.cleanup()
 
     def put(self, key: str, body: bytes) -> None:
-        """Write an object as another user of the platform would."""
-        versions = self.objects.setdefault(key, [])
-        versions.append(_Held(len(versions) + 1, body))
+        """Write an object of ours, as another process would."""
+        place = Key.of(key)
+        self.put_object(place.kind, place.name, spec_of(body))
+
+    def put_object(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as its owner would; return its revision."""
+        held = self.by_place.get((kind, name))
+        if held is None:
+            held = _Held(kind, name, self.revision + 1)
+            self.by_place[kind, name] = held
+        held.spec = spec
+        return self._note(held)
+
+    def remove_object(self, kind: str, name: str) -> None:
+        """Remove an object as its owner, or the end of its lease, would."""
+        held = self.by_place.pop((kind, name), None)
+        if held is not None:
+            self._note(held, removed=True)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._history_from = self.revision
+
+    async def tell(self) -> None:
+        """Let waiting watches look again, after changes made by ``put_object``."""
+        async with self._changed:
+            self._changed.notify_all()
 
     async def switch(self, *, down: bool) -> None:
         """Begin or end an outage; waiting watches end with it."""
         self.down = down
-        async with self._changed:
-            self._changed.notify_all()
+        await self.tell()
+
+    def _note(self, held: _Held, *, removed: bool = False) -> int:
+        self.revision += 1
+        held.revision = self.revision
+        change = _Change(self.revision, held.kind, held.answer(), removed)
+        self._history.append(change)
+        return self.revision
 
     async def _refuse(self) -> web.Response | None:
         self.calls += 1
         await sleep(self.latency_s)
+        if self.silent:
+            await Event().wait()
         if self.down:
             return web.Response(status=_DOWN)
         if self.calls_left is not None:
@@ -87,58 +165,123 @@
             self.calls_left -= 1
         return None
 
-    def _newest(self, key: str) -> _Held | None:
-        versions = self.objects.get(key)
-        if not versions:
-            return None
-        if self.stale and len(versions) > 1:
-            return versions[-2]
-        return versions[-1]
-
     async def _get(self, request: web.Request) -> web.Response:
         refusal = await self._refuse()
         if refusal is not None:
             return refusal
-        key = request.match_info['key']
-        after = int(request.query.get('after', '0'))
-        wait_s = float(request.query.get('wait', '0'))
-        held = self._newest(key)
-        if wait_s and (held is None or held.version <= after):
-            held = await self._wait(key, after, wait_s)
-            if held is None:
-                return web.Response(status=_NO_CONTENT)
+        held = self.by_place.get(_place(request))
         if held is None:
             return web.Response(status=_NOT_FOUND)
-        return web.Response(body=held.body, headers={'ETag': str(held.version)})
+        return web.json_response(held.answer())
 
-    async def _wait(self, key: str, after: int, wait_s: float) -> _Held | None:
+    async def _list(self, request: web.Request) -> web.Response:
+        refusal = await self._refuse()
+        if refusal is not None:
+            return refusal
+        if 'watch' in request.query:
+            return await self._watch(request)
+        kind = request.match_info['kind']
+        after = request.query.get('after', '')
+        names = sorted(name for owner, name in self.by_place if owner == kind and name > after)
+        page = names[: self.page_size]
+        return web.json_response(
+            {
+                'items': [self.by_place[kind, name].answer() for name in page],
+                'hasMore': len(names) > len(page),
+                'storeRevision': self.revision,
+            },
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        kind = request.match_info['kind']
+        since = int(request.query['watch'])
+        if since < self._history_from:
+            return web.Response(status=_GONE)
+        wait_s = int(request.query.get('waitMs', '0')) / _MS
+        newer = partial(self._newer, kind, since)
         try:
             async with self._changed:
-                newer = partial(self._newer, key, after)
                 await wait_for(self._changed.wait_for(newer), wait_s)
         except TimeoutError:
-            return None
-        held = self._newest(key)
-        return held if held is not None and held.version > after else None
+            return self._changes(kind, since)
+        return web.Response(status=_DOWN) if self.down else self._changes(kind, since)
+
+    def _newer(self, kind: str, since: int) -> bool:
+        if self.down:
+            return True
+        return any(change.revision > since and change.kind == kind for change in self._history)
 
-    def _newer(self, key: str, after: int) -> bool:
-        held = self._newest(key)
-        return self.down or (held is not None and held.version > after)
+    def _changes(self, kind: str, since: int) -> web.Response:
+        events = [
+            {'object': change.content, 'tombstone': change.removed}
+            for change in self._history
+            if change.revision > since and change.kind == kind
+        ]
+        return web.json_response({'events': events, 'storeRevision': self.revision})
 
-    async def _put(self, request: web.Request) -> web.Response:
+    async def _create(self, request: web.Request) -> web.Response:
         refusal = await self._refuse()
         if refusal is not None:
             return refusal
-        key = request.match_info['key']
-        body = await request.read()
-        versions = self.objects.setdefault(key, [])
-        if int(request.headers['If-Match']) != len(versions):
-            return web.Response(status=_CHANGED)
-        versions.append(_Held(len(versions) + 1, body))
-        async with self._changed:
-            self._changed.notify_all()
+        content = await request.json()
+        place = (request.match_info['kind'], content['meta']['name'])
+        held = self.by_place.get(place)
+        if held is not None:
+            return web.json_response(held.answer(), status=_CONFLICT)
+        self.put_object(*place, content['spec'])
+        return await self._confirm(request, self.by_place[place])
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        refusal = await self._refuse()
+        if refusal is not None:
+            return refusal
+        content = await request.json()
+        held = self.by_place.get(_place(request))
+        if held is None:
+            return web.Response(status=_NOT_FOUND)
+        wanted = content['meta'].get('revision')
+        if wanted and wanted != held.revision:
+            return web.json_response(held.answer(), status=_CONFLICT)
+        finalizers = list(content['meta'].get('finalizers') or ())
+        if (content['spec'], finalizers) != (held.spec, held.finalizers):
+            held.spec = content['spec']
+            held.finalizers = finalizers
+            self._note(held)
+        return await self._confirm(request, held)
+
+    async def _replace_status(self, request: web.Request) -> web.Response:
+        refusal = await self._refuse()
+        if refusal is not None:
+            return refusal
+        held = self.by_place.get(_place(request))
+        if held is None:
+            return web.Response(status=_NOT_FOUND)
+        held.status = (await request.json())['status']
+        self._note(held)
+        return await self._confirm(request, held)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        refusal = await self._refuse()
+        if refusal is not None:
+            return refusal
+        held = self.by_place.get(_place(request))
+        if held is None:
+            return web.Response(status=_NOT_FOUND)
+        if held.finalizers:
+            held.deleting = True
+            self._note(held)
+        else:
+            self.remove_object(held.kind, held.name)
+        return await self._confirm(request, held)
+
+    async def _confirm(self, request: web.Request, held: _Held) -> web.Response:
+        await self.tell()
         if self.confirmations_to_lose:
             self.confirmations_to_lose -= 1
             if request.transport is not None:
                 request.transport.abort()
-        return web.Response(headers={'ETag': str(len(versions))})
+        return web.json_response(held.answer())
+
+
+def _place(request: web.Request) -> tuple[str, str]:
+    return request.match_info['kind'], request.match_info['name']
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -12,7 +12,7 @@
 
 from msgspec.json import decode, encode
 
-from bronzekeel.adapters.platform import PlatformClient
+from bronzekeel.platform.client import PlatformClient
 from bronzekeel.balancer.settings import SettingsError, read_settings
 from bronzekeel.commands import output
 from bronzekeel.commands.main import main
