--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -27,6 +27,7 @@
         self.by_number: dict[int, Upstream] = {}
         self.names_by_service: dict[str, set[str]] = {}
         self.unsettled_until: float = 0
+        self.newest_revision = 0
 
     @property
     def listed_count(self) -> int:
@@ -44,10 +45,11 @@
     def take(self, entry: UpstreamEntry, now: float) -> bool:
         """Take a listed entry; return whether it is new or says something new."""
         known = self.by_name.get(entry.name)
+        self.newest_revision = max(self.newest_revision, entry.revision)
         if known is None:
             self._add(entry, now)
             return True
-        if entry.revision < known.entry.revision:
+        if entry.revision < max(known.entry.revision, known.removed_revision):
             return False
         returned = known.missing_at is not None
         known.missing_at = None
@@ -58,16 +60,18 @@
         known.warm_at = now + entry.cold_s
         return True
 
-    def miss(self, name: str, now: float, revision: int = 0) -> Upstream | None:
-        """Note that an entry is no longer in the store; return it if it was.
+    def miss(self, name: str, revision: int, now: float) -> Upstream | None:
+        """Note that an entry was removed by `revision`; return it if it was there.
 
         One that was draining has left.  One that vanished while the store was
         settled is gone at once; after an outage it may come back.
         """
+        self.newest_revision = max(self.newest_revision, revision)
         known = self.by_name.get(name)
-        if known is None or known.missing_at is not None:
+        if known is None or revision < known.entry.revision:
             return None
-        if revision and revision < known.entry.revision:
+        known.removed_revision = max(known.removed_revision, revision)
+        if known.missing_at is not None:
             return None
         known.missing_at = now
         known.left = known.entry.draining
--- a/src/bronzekeel/core/routing/effects.py
+++ b/src/bronzekeel/core/routing/effects.py
@@ -1,5 +1,7 @@
 """Define what a balancer's decisions ask its adapters to do."""
 
+from bronzekeel.core.routing.messages import Heartbeat
+
 
 class Effect:
     """Ask the adapters for something."""
@@ -30,6 +32,34 @@
         self.wait_s = wait_s
 
 
+class SendHeartbeat(Effect):
+    """Send one heartbeat to several peers."""
+
+    __slots__ = ('addresses', 'heartbeat')
+
+    def __init__(self, heartbeat: Heartbeat, addresses: list[tuple[str, int]]) -> None:
+        """Send `heartbeat` to all `addresses`."""
+        self.heartbeat = heartbeat
+        self.addresses = addresses
+
+
+class FetchView(Effect):
+    """Ask a peer for what it knows beyond two revisions."""
+
+    __slots__ = ('address', 'text_revision', 'upstreams_revision')
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        text_revision: int,
+        upstreams_revision: int,
+    ) -> None:
+        """Ask the peer at `address`."""
+        self.address = address
+        self.text_revision = text_revision
+        self.upstreams_revision = upstreams_revision
+
+
 class WriteLine(Effect):
     """Write one numbered log line with its fields."""
 
--- a/src/bronzekeel/core/routing/events.py
+++ b/src/bronzekeel/core/routing/events.py
@@ -1,5 +1,6 @@
 """Define everything that can happen to a balancer that steers by connection ids."""
 
+from bronzekeel.core.routing.messages import Heartbeat, View
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 
 
@@ -120,6 +121,38 @@
         self.problem = problem
 
 
+class HeartbeatHeard(Event):
+    """Tell that a peer's heartbeat arrived."""
+
+    __slots__ = ('heartbeat',)
+
+    def __init__(self, heartbeat: Heartbeat) -> None:
+        """Keep the heartbeat."""
+        self.heartbeat = heartbeat
+
+
+class ViewFetched(Event):
+    """Tell what a peer knows beyond what this balancer asked with."""
+
+    __slots__ = ('address', 'view')
+
+    def __init__(self, address: tuple[str, int], view: View) -> None:
+        """Keep the view and where it is from."""
+        self.address = address
+        self.view = view
+
+
+class ViewFailed(Event):
+    """Tell that a peer gave no view."""
+
+    __slots__ = ('address', 'problem')
+
+    def __init__(self, address: tuple[str, int], problem: str) -> None:
+        """Keep what went wrong, in words for the log."""
+        self.address = address
+        self.problem = problem
+
+
 class SettingsChanged(Event):
     """Tell that the settings were read anew."""
 
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -63,6 +63,7 @@
         'listed',
         'listing_revision',
         'lost',
+        'resting',
         'retry_at',
         'revision',
     )
@@ -77,12 +78,34 @@
         self.listed = False
         self.listing_revision: int | None = None
         self.lost = False
+        self.resting = False
         self.retry_at: float | None = None
         self.revision = 0
 
     def is_current(self, now: float) -> bool:
         """Whether the view is known to be as new as the store."""
-        return self.listed and not self.lost and now < self.current_until
+        if self.resting or self.lost or not self.listed:
+            return False
+        return now < self.current_until
+
+    def rest(self) -> None:
+        """Leave the store to other balancers."""
+        self.resting = True
+        self.current_until = 0
+        self.retry_at = None
+        self.lost = False
+        self.failures = 0
+
+    def is_due(self, now: float) -> bool:
+        """Whether no call is in progress and the next may be made."""
+        if self.resting:
+            return True
+        return self.retry_at is not None and now >= self.retry_at
+
+    def adopt(self, revision: int) -> None:
+        """Note that a peer told everything up to `revision`."""
+        self.listed = True
+        self.revision = max(self.revision, revision)
 
     def begin_listing(self) -> Effect:
         """Ask for the first page."""
@@ -96,16 +119,15 @@
         self._note_page(names, revision)
         return ReadPage(self.collection, names[-1])
 
-    def end_listing(self, names: list[str], revision: int, now: float) -> Effect:
-        """Take the last page and begin to watch.
+    def end_listing(self, names: list[str], revision: int) -> None:
+        """Take the last page.
 
         Watching from the first page's revision repeats changes made while
         pages were read instead of missing them.
         """
         self._note_page(names, revision)
-        self.revision = self.listing_revision or revision
+        self.revision = max(self.revision, self.listing_revision or revision)
         self.listed = True
-        return self.watch(now)
 
     def watch(self, now: float) -> Effect:
         """Wait for changes after `revision`."""
@@ -124,8 +146,9 @@
         spread = crc32(f'{self._host}/{self.collection}/{self.failures}'.encode()) % _SPREAD
         self.retry_at = now + wait_s * (0.5 + spread / _SPREAD)
 
-    def retry(self) -> Effect:
-        """Go on where the failure was."""
+    def take_up(self) -> Effect:
+        """Go on where a failure or a rest was, from what peers told meanwhile."""
+        self.resting = False
         self.retry_at = None
         if self.listed:
             return WatchChanges(self.collection, self.revision, PROVING_WATCH_S)
--- /dev/null
+++ b/src/bronzekeel/core/routing/messages.py
@@ -0,0 +1,102 @@
+"""Define what balancers tell each other."""
+
+from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
+
+
+class PeerAddress:
+    """Say where a balancer takes what its peers tell."""
+
+    __slots__ = ('address', 'data_centre', 'name')
+
+    def __init__(self, name: str, data_centre: str, address: tuple[str, int]) -> None:
+        """Keep where `name` is found."""
+        self.name = name
+        self.data_centre = data_centre
+        self.address = address
+
+
+class Heartbeat:
+    """Tell that a balancer lives, how new its views are, and its load.
+
+    `text_revision` and `upstreams_revision` are of the newest change that it
+    knows.  `direct` tells that its own watches of the store work, `lost` that
+    the store does not answer it.
+    `busy_by_number` has the requests in progress that it sees, by the short
+    number of their upstream.  `others` are peers that it knows.
+    """
+
+    __slots__ = (
+        'busy_by_number',
+        'direct',
+        'lost',
+        'others',
+        'sender',
+        'stopping',
+        'text_revision',
+        'upstreams_revision',
+    )
+
+    def __init__(  # noqa: WPS211 (the fields of one message)
+        self,
+        sender: PeerAddress,
+        text_revision: int,
+        upstreams_revision: int,
+        busy_by_number: dict[int, int],
+        others: tuple[PeerAddress, ...] = (),
+        *,
+        direct: bool = False,
+        lost: bool = False,
+        stopping: bool = False,
+    ) -> None:
+        """Keep the fields as they are sent."""
+        self.sender = sender
+        self.text_revision = text_revision
+        self.upstreams_revision = upstreams_revision
+        self.busy_by_number = busy_by_number
+        self.others = others
+        self.direct = direct
+        self.lost = lost
+        self.stopping = stopping
+
+
+class MissingEntry:
+    """Tell that an upstream's entry was removed at `revision`.
+
+    `gone_in_s` is how much longer it may come back; `left` that it announced
+    its leaving before.
+    """
+
+    __slots__ = ('gone_in_s', 'left', 'name', 'revision')
+
+    def __init__(self, name: str, revision: int, gone_in_s: float, *, left: bool) -> None:
+        """Keep what is known of the missing entry."""
+        self.name = name
+        self.revision = revision
+        self.gone_in_s = gone_in_s
+        self.left = left
+
+
+class View:
+    """Hold what a balancer knows, or what of it is new to a peer.
+
+    `text_followed` and `upstreams_followed` are the store's revisions up to
+    which the teller has read; from there a watch can go on.  `text` is None if
+    the peer has it.
+    """
+
+    __slots__ = ('entries', 'missing', 'text', 'text_followed', 'upstreams_followed')
+
+    def __init__(
+        self,
+        text: RoutingText | None,
+        text_followed: int,
+        entries: list[UpstreamEntry],
+        missing: list[MissingEntry],
+        upstreams_followed: int,
+    ) -> None:
+        """Keep the parts of the view."""
+        self.text = text
+        self.text_followed = text_followed
+        self.entries = entries
+        self.missing = missing
+        self.upstreams_followed = upstreams_followed
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -113,20 +113,24 @@
     """Hold one upstream: its newest entry, and what this balancer saw of it.
 
     Presence: `missing_at` is when the store stopped listing it, None while it
-    is listed; from `gone_at` on it counts as gone.
-    Own sight: `open_flows` and `busy_flows` as packets of callers show them;
+    is listed; from `gone_at` on it counts as gone; `removed_revision` is of the
+    removal.
+    Own sight: `open_flows` and `busy_flows` as packets of callers show them,
+    with `busy_elsewhere` what other balancers of the data centre see;
     `unanswered` counts opening packets in a row that nothing came of, for
     which it gets no new flows before `avoided_until`.
     """
 
     __slots__ = (
         'avoided_until',
+        'busy_elsewhere',
         'busy_flows',
         'entry',
         'gone_at',
         'left',
         'missing_at',
         'open_flows',
+        'removed_revision',
         'unanswered',
         'warm_at',
     )
@@ -138,8 +142,10 @@
         self.missing_at: float | None = None
         self.gone_at: float = 0
         self.left = False
+        self.removed_revision = 0
         self.open_flows = 0
         self.busy_flows = 0
+        self.busy_elsewhere = 0
         self.unanswered = 0
         self.avoided_until: float = 0
 
--- /dev/null
+++ b/src/bronzekeel/core/routing/peers.py
@@ -0,0 +1,237 @@
+"""Know the other balancers, and decide who watches the store for whom.
+
+Balancers find each other by the seeds in their settings and by word of mouth:
+a heartbeat names others.  One that was heard is told of us even while it is
+silent: a host that restarts in a data centre that is cut off from the store
+hears from its neighbours before it could find them.
+
+Two balancers of a data centre watch the store; the others are told by them.
+Without that each change would cost the store a call a host and collection.  One
+that hears no watcher watches for itself, so a wrong choice costs calls and
+never a change.
+"""
+
+from zlib import crc32
+
+from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
+
+
+#: Balancers of a data centre that watch the store.  Source: one may be deaf
+#: for a whole watch without knowing it; both at once is rare.
+WATCHERS = 2
+
+#: Least interval in seconds between two heartbeats to the same peer.  Source:
+#: loads change within a request's mean work of some fifty milliseconds; five
+#: of them are late enough to cost little and early enough to see a burst.
+HEARTBEAT_S = 0.25
+
+#: Seconds of heartbeats that one peer more adds to the interval, so that a
+#: host sends at most 25 a second.  Source: at 200 bytes each this is 5 KB/s of
+#: the 6 KB/s that docs/CAPACITY.md allows.
+_SPACING_S = 0.04
+
+#: Intervals of silence after which a peer is not relied on.
+_SILENT_INTERVALS = 4
+
+#: Interval in seconds of a word to the seeds and to other data centres.
+SEED_S = 2.0
+
+#: Interval in seconds of a word to the seeds while nothing is known here.
+_SEED_UNREADY_S = 0.2
+
+#: Seconds for which a silent peer is remembered.  Source: a host that loses
+#: power is back within seconds; one that is replaced never comes back.
+FORGET_S = 60.0
+
+#: Seconds after which a silent peer is no longer named to others.  Source: more
+#: than two intervals between heartbeats to seeds.
+NAMED_S = 5.0
+
+#: Peers that a heartbeat names at most; the rest has its turn later.
+_MOST_OTHERS = 6
+
+#: Peers of the own data centre that are told at most.  Source: the interval
+#: grows with each; with 48 it is two seconds, which a change can still bear.
+MOST_PEERS = 48
+
+
+class Peer:
+    """Hold one other balancer and the newest that it said."""
+
+    __slots__ = ('address', 'heard_at', 'heartbeat', 'known_at')
+
+    def __init__(self, address: PeerAddress, now: float) -> None:
+        """Start with one that was named by others."""
+        self.address = address
+        self.known_at = now
+        self.heard_at: float | None = None
+        self.heartbeat: Heartbeat | None = None
+
+    @property
+    def newest_at(self) -> float:
+        """When something was last heard of it."""
+        return self.known_at if self.heard_at is None else self.heard_at
+
+
+class PeerTable:
+    """Hold the peers by name."""
+
+    def __init__(self, me: PeerAddress, seeds: tuple[tuple[str, int], ...]) -> None:
+        """Start with nobody but the addresses of the seeds."""
+        self.me = me
+        self.by_name: dict[str, Peer] = {}
+        self._seeds = tuple(seed for seed in seeds if seed != me.address)
+        self._beat_at: float = 0
+        self._seed_at: float = 0
+        self._turn = 0
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two heartbeats to the same peer."""
+        return max(HEARTBEAT_S, len(self.neighbours()) * _SPACING_S)
+
+    def neighbours(self) -> list[Peer]:
+        """Return the peers of the own data centre, at most ``MOST_PEERS``.
+
+        With more, each tells those that follow it in the order of their names'
+        hashes, so that everybody is told by as many.
+        """
+        near = [peer for peer in self.by_name.values() if self._is_near(peer)]
+        if len(near) <= MOST_PEERS:
+            return near
+        mine = crc32(self.me.name.encode())
+        near.sort(key=lambda peer: (crc32(peer.address.name.encode()) - mine) % _CRC_RANGE)
+        return near[:MOST_PEERS]
+
+    def living(self, now: float) -> list[Peer]:
+        """Return the peers of the own data centre that were heard of late."""
+        silent_s = self.interval_s * _SILENT_INTERVALS
+        return [
+            peer
+            for peer in self.by_name.values()
+            if self._is_near(peer) and peer.heard_at is not None and now < peer.heard_at + silent_s
+        ]
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Note a heartbeat; return whether its sender was not known."""
+        name = heartbeat.sender.name
+        if name == self.me.name:
+            return False
+        peer = self.by_name.get(name)
+        known = peer is not None and peer.heard_at is not None
+        if peer is None:
+            peer = Peer(heartbeat.sender, now)
+            self.by_name[name] = peer
+        peer.address = heartbeat.sender
+        peer.heard_at = now
+        peer.heartbeat = heartbeat
+        for other in heartbeat.others:
+            if other.name != self.me.name and other.name not in self.by_name:
+                self.by_name[other.name] = Peer(other, now)
+        return not known
+
+    def forget_silent(self, now: float) -> None:
+        """Forget those of whom nothing was heard for long."""
+        for name, peer in list(self.by_name.items()):
+            if now >= peer.newest_at + FORGET_S:
+                self.by_name.pop(name)
+
+    def due(self, now: float, *, ready: bool) -> list[tuple[str, int]]:
+        """Return the addresses that are to get a heartbeat now."""
+        addresses: list[tuple[str, int]] = []
+        if now >= self._beat_at:
+            self._beat_at = now + self.interval_s
+            addresses.extend(peer.address.address for peer in self.neighbours())
+        if now >= self._seed_at:
+            wait_s = SEED_S if ready else _SEED_UNREADY_S
+            self._seed_at = now + wait_s
+            addresses.extend(seed for seed in self._seeds if seed not in addresses)
+        return addresses
+
+    def hurry(self) -> None:
+        """Send the next heartbeats at once: there is something new to tell."""
+        self._beat_at = 0
+
+    def some_others(self, data_centre: str, now: float) -> tuple[PeerAddress, ...]:
+        """Return peers to name to those in `data_centre`, all of them in turn.
+
+        Only those that were heard here of late: if silent ones were named too,
+        two balancers would remind each other of a host that is long gone.
+        """
+        self._turn += 1
+        named = [
+            peer.address
+            for peer in self.by_name.values()
+            if peer.address.data_centre == data_centre and _is_heard(peer, now)
+        ]
+        if not named:
+            return ()
+        start = self._turn % len(named)
+        return tuple((named[start:] + named[:start])[:_MOST_OTHERS])
+
+    def is_watcher(self, now: float, *, direct: bool, lost: bool) -> bool:
+        """Whether this balancer has to watch the store.
+
+        Those whose watches work do, the first by their names' hashes.  While
+        they are too few, the first of the others try; one that the store does
+        not answer (`lost`) takes nobody's place.  `direct` tells that our own
+        watches work.
+        """
+        rank = _rank(self.me.name)
+        working = 0
+        working_before = 0
+        trying_before = 0
+        for peer in self.living(now):
+            heartbeat = peer.heartbeat
+            if heartbeat is None or heartbeat.stopping:
+                continue
+            before = _rank(peer.address.name) < rank
+            if heartbeat.direct:
+                working += 1
+                working_before += before
+            elif not heartbeat.lost:
+                trying_before += before
+        if direct:
+            return working_before < WATCHERS
+        if lost:
+            return working < WATCHERS
+        return working + trying_before < WATCHERS
+
+    def is_told(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
+        """Whether a living watcher knows nothing newer than these revisions."""
+        told = False
+        for peer in self.living(now):
+            heartbeat = peer.heartbeat
+            if heartbeat is None or not heartbeat.direct:
+                continue
+            if heartbeat.text_revision > text_revision:
+                return False
+            if heartbeat.upstreams_revision > upstreams_revision:
+                return False
+            told = True
+        return told
+
+    def busy_elsewhere(self, now: float) -> dict[int, int]:
+        """Return the requests in progress that living peers see, by upstream."""
+        total: dict[int, int] = {}
+        for peer in self.living(now):
+            if peer.heartbeat is None:
+                continue
+            for number, busy in peer.heartbeat.busy_by_number.items():
+                total[number] = total.get(number, 0) + busy
+        return total
+
+    def _is_near(self, peer: Peer) -> bool:
+        return peer.address.data_centre == self.me.data_centre
+
+
+def _is_heard(peer: Peer, now: float) -> bool:
+    return peer.heard_at is not None and now < peer.heard_at + NAMED_S
+
+
+def _rank(name: str) -> tuple[int, str]:
+    return crc32(name.encode()), name
+
+
+_CRC_BITS = 32
+_CRC_RANGE = 1 << _CRC_BITS
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -84,7 +84,7 @@
 
 def load_of(upstream: Upstream, now: float) -> float:
     """Return the load of an upstream with one more flow, per slot."""
-    load = 1 + upstream.busy_flows + upstream.open_flows * IDLE_FLOW_LOAD
+    load = 1 + upstream.busy_flows + upstream.busy_elsewhere + upstream.open_flows * IDLE_FLOW_LOAD
     if now < upstream.warm_at:
         load *= COLD_FACTOR
     return load / upstream.entry.slots
--- /dev/null
+++ b/src/bronzekeel/core/routing/readiness.py
@@ -0,0 +1,22 @@
+"""Decide when a balancer takes traffic."""
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, WriteLine
+from bronzekeel.core.routing.state import RoutingState
+
+
+def become_ready(state: RoutingState) -> list[Effect]:
+    """Take traffic once text and upstreams are known, from the store or a peer."""
+    if state.ready or state.text is None:
+        return []
+    for follower in state.follower_by_collection.values():
+        if not follower.listed:
+            return []
+    state.ready = True
+    return [
+        WriteLine(
+            LogNumber.READY,
+            generation=state.text.generation,
+            upstreams=state.directory.listed_count,
+        ),
+    ]
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -13,6 +13,7 @@
     CallFailed,
     ChangesRead,
     Event,
+    HeartbeatHeard,
     HistoryLost,
     PageRead,
     ProbeAnswered,
@@ -22,10 +23,22 @@
     StoredObject,
     Ticked,
     Unreadable,
+    ViewFailed,
+    ViewFetched,
 )
 from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
+from bronzekeel.core.routing.readiness import become_ready
+from bronzekeel.core.routing.sharing import (
+    beat,
+    hear,
+    note_refusal,
+    share_loads,
+    take_view,
+    tell_change,
+)
 from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.core.routing.taking import take_entry, take_missing, take_text
 
 
 #: Interval in seconds at which the daemon feeds ``Ticked``.
@@ -45,7 +58,10 @@
 
 
 def _on_started(state: RoutingState, event: Started, now: float) -> list[Effect]:
-    return [follower.begin_listing() for follower in state.follower_by_collection.values()]
+    effects = beat(state, now)
+    for follower in state.follower_by_collection.values():
+        effects.append(follower.begin_listing())
+    return effects
 
 
 def _on_page(state: RoutingState, event: PageRead, now: float) -> list[Effect]:
@@ -57,24 +73,37 @@
     if event.more and names:
         effects.append(follower.next_page(names, event.revision))
         return effects
-    effects.append(follower.end_listing(names, event.revision, now))
+    follower.end_listing(names, event.revision)
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_miss_unlisted(state, follower, now))
-    effects.extend(_become_ready(state))
+    effects.extend(become_ready(state))
+    effects.extend(_go_on(state, follower, now))
     return effects
 
 
 def _on_changes(state: RoutingState, event: ChangesRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
     effects = _note_regained(state, follower, now)
+    known = (state.text_revision, state.directory.newest_revision)
     for stored in event.objects:
         effects.extend(_take(state, stored, now))
     follower.revision = max(follower.revision, event.revision)
-    effects.append(follower.watch(now))
-    effects.extend(_become_ready(state))
+    effects.extend(become_ready(state))
+    effects.extend(_go_on(state, follower, now))
+    if known != (state.text_revision, state.directory.newest_revision):
+        effects.extend(tell_change(state, now))
     return effects
 
 
+def _go_on(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
+    """Watch on, or leave that to others when enough of them do."""
+    effect = follower.watch(now)
+    if state.is_watcher(now):
+        return [effect]
+    follower.rest()
+    return []
+
+
 def _on_history_lost(state: RoutingState, event: HistoryLost, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
     line = WriteLine(
@@ -123,22 +152,12 @@
 
 def _take(state: RoutingState, stored: StoredObject, now: float) -> list[Effect]:
     if isinstance(stored.content, RoutingText):
-        return _take_text(state, stored.content)
+        return take_text(state, stored.content)
     if isinstance(stored.content, UpstreamEntry):
-        return _take_entry(state, stored.content, now)
+        return take_entry(state, stored.content, now)
     if isinstance(stored.content, Unreadable):
         return [_bad_object(stored.name, stored.revision, stored.content.problem)]
-    missed = state.directory.miss(stored.name, now, stored.revision)
-    if missed is None:
-        return []
-    return [
-        WriteLine(
-            LogNumber.UPSTREAM_UNLISTED,
-            upstream=stored.name,
-            left=missed.left,
-            gone_in_s=round(missed.gone_at - now, 3),
-        ),
-    ]
+    return take_missing(state, stored.name, stored.revision, now)
 
 
 def _bad_object(name: str, revision: int, problem: str) -> Effect:
@@ -146,73 +165,16 @@
     return WriteLine(LogNumber.OBJECT_BAD, object=name, revision=revision, problem=problem)
 
 
-def _take_text(state: RoutingState, text: RoutingText) -> list[Effect]:
-    """Put a text in force unless a newer one is: views never go backward."""
-    known = state.text
-    if known is not None and text.revision <= known.revision:
-        if text.revision == known.revision:
-            return []
-        return [
-            WriteLine(
-                LogNumber.TEXT_OLDER,
-                generation=text.generation,
-                revision=text.revision,
-                in_force=known.revision,
-            ),
-        ]
-    state.text = text
-    return [
-        WriteLine(
-            LogNumber.TEXT_IN_FORCE,
-            generation=text.generation,
-            revision=text.revision,
-            routes=len(text.route_by_key),
-        ),
-    ]
-
-
-def _take_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
-    if not state.directory.take(entry, now):
-        return []
-    return [
-        WriteLine(
-            LogNumber.UPSTREAM_LISTED,
-            upstream=entry.name,
-            service=entry.service,
-            draining=entry.draining,
-            cold_s=entry.cold_s,
-            revision=entry.revision,
-        ),
-    ]
-
-
 def _miss_unlisted(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
     """Note the upstreams that a complete listing does not have."""
     effects: list[Effect] = []
     for name in list(state.directory.by_name):
         if name in follower.found:
             continue
-        effects.extend(_take(state, StoredObject(name, 0, None), now))
+        effects.extend(take_missing(state, name, follower.revision, now))
     return effects
 
 
-def _become_ready(state: RoutingState) -> list[Effect]:
-    """Take traffic once text and upstreams have been read."""
-    if state.ready or state.text is None:
-        return []
-    for follower in state.follower_by_collection.values():
-        if not follower.listed:
-            return []
-    state.ready = True
-    return [
-        WriteLine(
-            LogNumber.READY,
-            generation=state.text.generation,
-            upstreams=state.directory.listed_count,
-        ),
-    ]
-
-
 def _on_probe(state: RoutingState, event: ProbeAnswered, now: float) -> list[Effect]:
     if not event.ready:
         state.stopping.note_refusal()
@@ -223,7 +185,8 @@
     if state.stopping.asked:
         return []
     state.stopping.ask(now)
-    return [WriteLine(LogNumber.STOPPING, flows=len(state.flows))]
+    stopping = WriteLine(LogNumber.STOPPING, flows=len(state.flows))
+    return [stopping, *tell_change(state, now)]
 
 
 def _on_settings(state: RoutingState, event: SettingsChanged, now: float) -> list[Effect]:
@@ -238,16 +201,30 @@
     if now >= state.forget_at:
         state.forget_at = now + _FORGET_EVERY_S
         state.directory.forget_old(now)
-    effects: list[Effect] = []
-    for follower in state.follower_by_collection.values():
-        if follower.retry_at is not None and now >= follower.retry_at:
-            effects.append(follower.retry())
+    state.peers.forget_silent(now)
+    share_loads(state, now)
+    effects = _follow_on(state, now)
+    effects.extend(beat(state, now))
     if state.stopping.is_done(now):
         effects.append(WriteLine(LogNumber.STOPPED, refusals=state.stopping.refusals))
         effects.append(End())
     return effects
 
 
+def _follow_on(state: RoutingState, now: float) -> list[Effect]:
+    """Make the calls to the store that are due."""
+    effects: list[Effect] = []
+    watcher = state.is_watcher(now)
+    for follower in state.follower_by_collection.values():
+        if not follower.is_due(now):
+            continue
+        if watcher or not follower.listed:
+            effects.append(follower.take_up())
+            continue
+        follower.rest()
+    return effects
+
+
 _HANDLERS: Mapping[type[Event], Callable[..., list[Effect]]] = MappingProxyType(
     {
         Started: _on_started,
@@ -259,5 +236,8 @@
         ProbeAnswered: _on_probe,
         StopAsked: _on_stop,
         SettingsChanged: _on_settings,
+        HeartbeatHeard: hear,
+        ViewFetched: take_view,
+        ViewFailed: note_refusal,
     },
 )
--- /dev/null
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -0,0 +1,173 @@
+"""Tell peers what this balancer knows, and take what they know.
+
+What goes wrong without it: a host that restarts while its data centre is cut
+off from the store knows nothing, and the fabric may send it packets all the
+same; and every host's own watch costs the store a call at each change.
+
+Views are ordered by the store's revisions, from whatever source they come:
+what is older than what is known is left out, so nobody is taken back.
+"""
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, FetchView, SendHeartbeat, WriteLine
+from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, View
+from bronzekeel.core.routing.readiness import become_ready
+from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.core.routing.taking import take_entry, take_missing, take_text
+
+
+#: Seconds after which a view that was asked for is asked for again.
+#: Source: twenty times what a peer of the data centre needs under load.
+FETCH_S = 0.5
+
+#: Upstreams whose load a heartbeat tells at most, the busiest first.
+MOST_LOADS = 24
+
+
+def beat(state: RoutingState, now: float) -> list[Effect]:
+    """Send the heartbeats that are due."""
+    addresses = state.peers.due(now, ready=state.ready)
+    if not addresses:
+        return []
+    return [SendHeartbeat(_heartbeat(state, state.peers.me.data_centre, now), addresses)]
+
+
+def tell_change(state: RoutingState, now: float) -> list[Effect]:
+    """Tell peers at once that there is something new."""
+    state.peers.hurry()
+    return beat(state, now)
+
+
+def hear(state: RoutingState, event: HeartbeatHeard, now: float) -> list[Effect]:
+    """Take a heartbeat; answer a new peer at once, and ask for what is new."""
+    heartbeat = event.heartbeat
+    effects: list[Effect] = []
+    sender = heartbeat.sender
+    if state.peers.hear(heartbeat, now):
+        effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
+        answer = _heartbeat(state, sender.data_centre, now)
+        effects.append(SendHeartbeat(answer, [sender.address]))
+    if _knows_more(state, heartbeat) and now >= state.fetch_until:
+        state.fetch_until = now + FETCH_S
+        effects.append(
+            FetchView(sender.address, state.text_revision, state.directory.newest_revision),
+        )
+    return effects
+
+
+def take_view(state: RoutingState, event: ViewFetched, now: float) -> list[Effect]:
+    """Take what a peer knows."""
+    view = event.view
+    state.fetch_until = now
+    effects: list[Effect] = []
+    if view.text is not None:
+        effects.extend(take_text(state, view.text))
+    for entry in view.entries:
+        effects.extend(take_entry(state, entry, now))
+    for missing in view.missing:
+        effects.extend(_take_missing(state, missing, now))
+    followers = state.follower_by_collection
+    if state.text is not None:
+        followers[Collection.TEXT].adopt(view.text_followed)
+    if view.upstreams_followed:
+        followers[Collection.UPSTREAMS].adopt(view.upstreams_followed)
+    effects.extend(become_ready(state))
+    return effects
+
+
+def note_refusal(state: RoutingState, event: ViewFailed, now: float) -> list[Effect]:
+    """Note that a peer gave no view; the next heartbeat asks again."""
+    state.fetch_until = now
+    address = ':'.join(map(str, event.address))
+    return [WriteLine(LogNumber.PEER_UNREACHED, peer=address, problem=event.problem)]
+
+
+def view_since(
+    state: RoutingState,
+    text_revision: int,
+    upstreams_revision: int,
+    now: float,
+) -> View:
+    """Return what this balancer knows beyond two revisions."""
+    entries = []
+    missing = []
+    for upstream in state.directory.by_name.values():
+        if upstream.missing_at is None:
+            if upstream.entry.revision > upstreams_revision:
+                entries.append(upstream.entry)
+            continue
+        if upstream.removed_revision > upstreams_revision:
+            wait_s = max(0, upstream.gone_at - now)
+            missing.append(
+                MissingEntry(
+                    upstream.entry.name,
+                    upstream.removed_revision,
+                    wait_s,
+                    left=upstream.left,
+                ),
+            )
+    followers = state.follower_by_collection
+    upstreams = followers[Collection.UPSTREAMS]
+    return View(
+        state.text if state.text_revision > text_revision else None,
+        followers[Collection.TEXT].revision,
+        entries,
+        missing,
+        upstreams.revision if upstreams.listed else 0,
+    )
+
+
+def share_loads(state: RoutingState, now: float) -> None:
+    """Note at each upstream what other balancers see in progress there."""
+    elsewhere = state.peers.busy_elsewhere(now)
+    for number, upstream in state.directory.by_number.items():
+        upstream.busy_elsewhere = elsewhere.get(number, 0)
+
+
+def _heartbeat(state: RoutingState, data_centre: str, now: float) -> Heartbeat:
+    busy = [
+        (upstream.busy_flows, number)
+        for number, upstream in state.directory.by_number.items()
+        if upstream.busy_flows
+    ]
+    busy.sort(reverse=True)
+    return Heartbeat(
+        state.peers.me,
+        state.text_revision,
+        state.directory.newest_revision,
+        {number: flows for flows, number in busy[:MOST_LOADS]},
+        state.peers.some_others(data_centre, now),
+        direct=state.is_direct(now),
+        lost=state.is_lost,
+        stopping=state.stopping.asked,
+    )
+
+
+def _knows_more(state: RoutingState, heartbeat: Heartbeat) -> bool:
+    """Whether the sender has something that is new here.
+
+    One that has nothing itself is not asked.  Before this balancer is ready
+    any peer will do; later only those of its own data centre, so that no
+    change crosses data centres once for each host.
+    """
+    if not heartbeat.text_revision:
+        return False
+    if not state.ready:
+        return True
+    if heartbeat.sender.data_centre != state.peers.me.data_centre:
+        return False
+    if heartbeat.text_revision > state.text_revision:
+        return True
+    return heartbeat.upstreams_revision > state.directory.newest_revision
+
+
+def _take_missing(state: RoutingState, missing: MissingEntry, now: float) -> list[Effect]:
+    """Take a removal; the teller knows how long the entry may still come back."""
+    effects = take_missing(state, missing.name, missing.revision, now)
+    upstream = state.directory.by_name.get(missing.name)
+    if effects and upstream is not None:
+        upstream.left = missing.left
+        upstream.gone_at = now + missing.gone_in_s
+    return effects
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -4,46 +4,69 @@
 from bronzekeel.core.routing.flows import FlowTable
 from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.model import RoutingText
+from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.stopping import Stopping
 
 
 class RoutingState:
-    """Hold text, upstreams, flows and how fresh each is.
+    """Hold text, upstreams, flows, peers, and how fresh each is.
 
-    `host` names this balancer; its name spreads retries over time.
+    A view that was asked of a peer is awaited until `fetch_until`.
     """
 
     __slots__ = (
         'directory',
+        'fetch_until',
         'flows',
         'follower_by_collection',
         'forget_at',
-        'host',
+        'peers',
         'ready',
         'stopping',
         'text',
     )
 
-    def __init__(self, host: str, stop_within_s: float) -> None:
+    def __init__(self, peers: PeerTable, stop_within_s: float) -> None:
         """Start knowing nothing; a stop ends after `stop_within_s` at the latest."""
-        self.host = host
+        self.peers = peers
         self.text: RoutingText | None = None
         self.directory = Directory()
         self.flows = FlowTable()
         self.follower_by_collection = {
-            collection: Follower(collection, host) for collection in Collection
+            collection: Follower(collection, peers.me.name) for collection in Collection
         }
         self.stopping = Stopping(stop_within_s)
         self.ready = False
         self.forget_at: float = 0
+        self.fetch_until: float = 0
 
-    def is_current(self, now: float) -> bool:
-        """Whether both views are known to be as new as the store."""
+    @property
+    def text_revision(self) -> int:
+        """The store's revision of the text in force, zero when none is."""
+        return self.text.revision if self.text else 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store does not answer this balancer."""
+        return any(follower.lost for follower in self.follower_by_collection.values())
+
+    def is_direct(self, now: float) -> bool:
+        """Whether own watches prove that both views are as new as the store."""
         for follower in self.follower_by_collection.values():
             if not follower.is_current(now):
                 return False
         return True
 
+    def is_current(self, now: float) -> bool:
+        """Whether own watches or a watching peer prove that the views are new."""
+        if self.is_direct(now):
+            return True
+        return self.peers.is_told(self.text_revision, self.directory.newest_revision, now)
+
+    def is_watcher(self, now: float) -> bool:
+        """Whether this balancer has to watch the store."""
+        return self.peers.is_watcher(now, direct=self.is_direct(now), lost=self.is_lost)
+
     def is_settled(self, now: float) -> bool:
         """Whether both views are current, and lapsed entries had time to come back."""
         return now >= self.directory.unsettled_until and self.is_current(now)
--- /dev/null
+++ b/src/bronzekeel/core/routing/taking.py
@@ -0,0 +1,68 @@
+"""Take texts and entries, from whatever source, in the order of their revisions.
+
+What goes wrong without the order: an answer that was under way while the
+watch moved on, a peer that was paused, or a read that is seconds old takes a
+balancer back to a text that is no longer in force.
+"""
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, WriteLine
+from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
+from bronzekeel.core.routing.state import RoutingState
+
+
+def take_text(state: RoutingState, text: RoutingText) -> list[Effect]:
+    """Put a text in force unless a newer one is."""
+    known = state.text
+    if known is not None and text.revision == known.revision:
+        return []
+    if known is not None and text.revision < known.revision:
+        return [
+            WriteLine(
+                LogNumber.TEXT_OLDER,
+                generation=text.generation,
+                revision=text.revision,
+                in_force=known.revision,
+            ),
+        ]
+    state.text = text
+    return [
+        WriteLine(
+            LogNumber.TEXT_IN_FORCE,
+            generation=text.generation,
+            revision=text.revision,
+            routes=len(text.route_by_key),
+        ),
+    ]
+
+
+def take_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
+    """Take what an upstream says of itself."""
+    if not state.directory.take(entry, now):
+        return []
+    return [
+        WriteLine(
+            LogNumber.UPSTREAM_LISTED,
+            upstream=entry.name,
+            service=entry.service,
+            draining=entry.draining,
+            cold_s=entry.cold_s,
+            revision=entry.revision,
+        ),
+    ]
+
+
+def take_missing(state: RoutingState, name: str, revision: int, now: float) -> list[Effect]:
+    """Note that the store no longer has an entry."""
+    missed = state.directory.miss(name, revision, now)
+    if missed is None:
+        return []
+    return [
+        WriteLine(
+            LogNumber.UPSTREAM_UNLISTED,
+            upstream=name,
+            left=missed.left,
+            gone_in_s=round(missed.gone_at - now, 3),
+            revision=revision,
+        ),
+    ]
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -1,12 +1,21 @@
 """Wire sockets and decisions into one running balancer."""
 
+from collections.abc import Callable
 from os import stat
 from signal import SIGHUP, SIGINT, SIGTERM, signal
 from time import monotonic, process_time
 from types import FrameType
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.effects import Effect, End, ReadPage, WatchChanges, WriteLine
+from bronzekeel.core.routing.effects import (
+    Effect,
+    End,
+    FetchView,
+    ReadPage,
+    SendHeartbeat,
+    WatchChanges,
+    WriteLine,
+)
 from bronzekeel.core.routing.events import (
     CallFailed,
     Event,
@@ -17,17 +26,21 @@
     Ticked,
 )
 from bronzekeel.core.routing.follower import ANSWER_S
+from bronzekeel.core.routing.messages import PeerAddress, View
+from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.placement import LeastBusy
 from bronzekeel.core.routing.reducer import TICK_S, reduce
+from bronzekeel.core.routing.sharing import view_since
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.entry.http_client import Call, HttpConnection
+from bronzekeel.entry.http_server import NOT_FOUND, OK, UNAVAILABLE, Answer, HttpServer
 from bronzekeel.entry.journal import LineJournal
 from bronzekeel.entry.lines import LineLog
 from bronzekeel.entry.loop import Loop
 from bronzekeel.entry.packets import PacketSocket
+from bronzekeel.entry.peers import PeerSockets
 from bronzekeel.entry.ports import PacketFormat, StoreCalls
-from bronzekeel.entry.readiness import ReadinessServer
 from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
 
 
@@ -49,7 +62,9 @@
     ) -> None:
         """Bind all sockets; nothing is asked of the store before ``start``."""
         self.loop = Loop()
-        self.state = RoutingState(settings.name, settings.stop_within_s)
+        me = PeerAddress(settings.name, settings.data_centre, settings.peers)
+        self.state = RoutingState(PeerTable(me, settings.seeds), settings.stop_within_s)
+        self._readiness_path = settings.readiness_path
         self._calls = store_calls
         self._lines = LineLog(settings.name, stream)
         steering = ConnectionIdSteering(
@@ -64,17 +79,33 @@
             steering.decide,
             self._note_bad_packet,
         )
-        self.readiness = ReadinessServer(
+        self.readiness = HttpServer(self.loop, settings.readiness, self._answer_probe)
+        self.peers = PeerSockets(
             self.loop,
-            settings.readiness,
-            settings.readiness_path,
-            self._answer_probe,
+            settings.peers,
+            self.take,
+            self._view_since,
+            self._note_bad_packet,
         )
+        me.address = (settings.peers[0], self.peers.port)
         self._connection_by_collection = {
             collection.value: HttpConnection(self.loop, settings.store)
             for collection in self.state.follower_by_collection
         }
         self._next_tick_at = monotonic()
+        self._handlers: dict[type[Effect], Callable[..., None]] = {
+            WriteLine: self._write_line,
+            ReadPage: self._read_page,
+            WatchChanges: self._watch,
+            SendHeartbeat: lambda effect, now: self.peers.send(effect),
+            FetchView: lambda effect, now: self.peers.fetch(effect),
+            End: lambda effect, now: self.loop.stop(),
+        }
+
+    @property
+    def handled_effects(self) -> frozenset[type[Effect]]:
+        """Kinds of effects that are carried out."""
+        return frozenset(self._handlers)
 
     @property
     def store_calls(self) -> int:
@@ -103,26 +134,20 @@
             )
             return
         for effect in effects:
-            self._carry_out(effect, now)
+            self._handlers[type(effect)](effect, now)
 
     def close(self) -> None:
         """Free all sockets."""
         self._lines.flush()
         self.packets.close()
         self.readiness.close()
+        self.peers.close()
         for connection in self._connection_by_collection.values():
             connection.close()
         self.loop.close()
 
-    def _carry_out(self, effect: Effect, now: float) -> None:
-        if isinstance(effect, WriteLine):
-            self._lines.write(effect.number, effect.fields, now)
-        elif isinstance(effect, ReadPage):
-            self._read_page(effect, now)
-        elif isinstance(effect, WatchChanges):
-            self._watch(effect, now)
-        elif isinstance(effect, End):
-            self.loop.stop()
+    def _write_line(self, effect: WriteLine, now: float) -> None:
+        self._lines.write(effect.number, effect.fields, now)
 
     def _read_page(self, effect: ReadPage, now: float) -> None:
         collection = effect.collection
@@ -155,10 +180,15 @@
         self._next_tick_at = max(self._next_tick_at + TICK_S, monotonic())
         self.loop.call_at(self._next_tick_at, self._tick)
 
-    def _answer_probe(self) -> bool:
+    def _answer_probe(self, target: str) -> Answer:
+        if target != self._readiness_path:
+            return Answer(NOT_FOUND)
         ready = self.state.ready and not self.state.stopping.asked
         self.take(ProbeAnswered(ready=ready))
-        return ready
+        return Answer(OK if ready else UNAVAILABLE)
+
+    def _view_since(self, text_revision: int, upstreams_revision: int) -> View:
+        return view_since(self.state, text_revision, upstreams_revision, monotonic())
 
     def _note_bad_packet(self, kind: str, raw: bytes) -> None:
         self._write(LogNumber.PACKET_BAD, {'kind': kind, 'bytes': len(raw)})
--- /dev/null
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -0,0 +1,151 @@
+"""Write and read what balancers tell each other, as JSON.
+
+A field that is not there or is of the wrong kind makes the whole message
+unreadable: a peer of another version must not be half understood.
+"""
+
+from json import dumps as encode_json
+from json import loads as decode_json
+from typing import Any
+
+from bronzekeel.core.routing.connection_ids import seal_of
+from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, PeerAddress, View
+from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+
+
+#: What a message of the wrong shape raises while it is read.
+_FORMAT_FAULTS = (KeyError, TypeError, ValueError, AttributeError, IndexError)
+
+_COMPACT = (',', ':')
+_FLAGS = ('direct', 'lost', 'stopping')
+
+
+class MessageError(ValueError):
+    """Tell that a peer's message is unreadable; compare the peers' versions."""
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return the datagram of a heartbeat."""
+    return _encoded(
+        {
+            'from': _peer_out(heartbeat.sender),
+            'text': heartbeat.text_revision,
+            'upstreams': heartbeat.upstreams_revision,
+            'busy': list(heartbeat.busy_by_number.items()),
+            'others': [_peer_out(other) for other in heartbeat.others],
+            'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
+        },
+    )
+
+
+def decode_heartbeat(raw: bytes) -> Heartbeat:
+    """Return the heartbeat of a datagram.  Raises MessageError."""
+    try:
+        fields = decode_json(raw)
+        flags = dict(zip(_FLAGS, map(bool, fields['flags']), strict=True))
+        return Heartbeat(
+            _peer_in(fields['from']),
+            int(fields['text']),
+            int(fields['upstreams']),
+            {int(number): int(busy) for number, busy in fields['busy']},
+            tuple(_peer_in(other) for other in fields['others']),
+            **flags,
+        )
+    except _FORMAT_FAULTS as fault:
+        raise MessageError(f'heartbeat unreadable: {fault!r}') from fault
+
+
+def encode_view(view: View) -> bytes:
+    """Return the body of a view."""
+    return _encoded(
+        {
+            'text': None if view.text is None else _text_out(view.text),
+            'text_followed': view.text_followed,
+            'entries': [_entry_out(entry) for entry in view.entries],
+            'missing': [
+                (missing.name, missing.revision, missing.gone_in_s, missing.left)
+                for missing in view.missing
+            ],
+            'upstreams_followed': view.upstreams_followed,
+        },
+    )
+
+
+def decode_view(raw: bytes) -> View:
+    """Return the view of a body.  Raises MessageError."""
+    try:
+        fields = decode_json(raw)
+        text = fields['text']
+        return View(
+            None if text is None else _text_in(text),
+            int(fields['text_followed']),
+            [_entry_in(entry) for entry in fields['entries']],
+            [_missing_in(missing) for missing in fields['missing']],
+            int(fields['upstreams_followed']),
+        )
+    except _FORMAT_FAULTS as fault:
+        raise MessageError(f'view unreadable: {fault!r}') from fault
+
+
+def _encoded(fields: dict[str, Any]) -> bytes:
+    return encode_json(fields, separators=_COMPACT).encode()
+
+
+def _peer_out(peer: PeerAddress) -> tuple[str, str, str, int]:
+    return peer.name, peer.data_centre, peer.address[0], peer.address[1]
+
+
+def _peer_in(fields: list[Any]) -> PeerAddress:
+    name, data_centre, host, port = fields
+    return PeerAddress(str(name), str(data_centre), (str(host), int(port)))
+
+
+def _text_out(text: RoutingText) -> dict[str, Any]:
+    routes = [
+        (route.key.hex(), route.name, [(share.service, share.weight) for share in route.shares])
+        for route in text.route_by_key.values()
+    ]
+    return {
+        'generation': text.generation,
+        'revision': text.revision,
+        'idle_s': text.idle_s,
+        'routes': routes,
+    }
+
+
+def _text_in(fields: dict[str, Any]) -> RoutingText:
+    route_by_key = {}
+    for key_hex, name, listed in fields['routes']:
+        key = bytes.fromhex(key_hex)
+        shares = tuple(ServiceShare(str(service), int(weight)) for service, weight in listed)
+        route_by_key[key] = Route(key, str(name), shares, seal_of(key))
+    return RoutingText(
+        int(fields['generation']),
+        int(fields['revision']),
+        route_by_key,
+        float(fields['idle_s']),
+    )
+
+
+def _entry_out(entry: UpstreamEntry) -> dict[str, Any]:
+    return {name: getattr(entry, name) for name in UpstreamEntry.__slots__}
+
+
+def _entry_in(fields: dict[str, Any]) -> UpstreamEntry:
+    host, port = fields['address']
+    return UpstreamEntry(
+        name=str(fields['name']),
+        number=int(fields['number']),
+        service=str(fields['service']),
+        address=(str(host), int(port)),
+        data_centre=str(fields['data_centre']),
+        slots=int(fields['slots']),
+        draining=bool(fields['draining']),
+        cold_s=float(fields['cold_s']),
+        revision=int(fields['revision']),
+    )
+
+
+def _missing_in(fields: list[Any]) -> MissingEntry:
+    name, revision, gone_in_s, left = fields
+    return MissingEntry(str(name), int(revision), float(gone_in_s), left=bool(left))
--- /dev/null
+++ b/src/bronzekeel/entry/peers.py
@@ -0,0 +1,134 @@
+"""Exchange heartbeats and views with other balancers.
+
+Heartbeats are datagrams: a lost one is replaced by the next.  Views are asked
+for over HTTP, with the client and the server that the store and the fabric
+already need.  gRPC, which the other way of steering uses between processes,
+takes 0.2 s of processor time to import.
+"""
+
+from collections.abc import Callable
+from selectors import EVENT_READ
+from socket import AF_INET, SOCK_DGRAM, socket
+from time import monotonic
+
+from bronzekeel.core.routing.effects import FetchView, SendHeartbeat
+from bronzekeel.core.routing.events import Event, HeartbeatHeard, ViewFailed, ViewFetched
+from bronzekeel.core.routing.messages import View
+from bronzekeel.core.routing.sharing import FETCH_S
+from bronzekeel.entry.http_client import Call, HttpConnection
+from bronzekeel.entry.http_server import BAD_REQUEST, NOT_FOUND, OK, Answer, HttpServer
+from bronzekeel.entry.loop import Loop
+from bronzekeel.entry.peer_messages import (
+    MessageError,
+    decode_heartbeat,
+    decode_view,
+    encode_heartbeat,
+    encode_view,
+)
+
+
+_PATH = '/view/'
+_BATCH = 64
+_MOST_DATAGRAM = 8192
+
+_Emit = Callable[[Event], None]
+_ViewSince = Callable[[int, int], View]
+_Fault = Callable[[str, bytes], None]
+
+
+class PeerSockets:
+    """Own the port that peers talk to, for datagrams and for HTTP."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        emit: _Emit,
+        view_since: _ViewSince,
+        note_fault: _Fault,
+    ) -> None:
+        """Bind `address`; peers' questions are answered by `view_since`."""
+        self._loop = loop
+        self._emit = emit
+        self._view_since = view_since
+        self._note_fault = note_fault
+        self._fetch: HttpConnection | None = None
+        self._server = HttpServer(loop, address, self._answer_to)
+        self._socket = socket(AF_INET, SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((address[0], self._server.port))
+        loop.watch(self._socket, EVENT_READ, self._receive)
+
+    @property
+    def port(self) -> int:
+        """Port that both sockets are bound to."""
+        return self._server.port
+
+    def close(self) -> None:
+        """Free all sockets."""
+        self._loop.forget(self._socket)
+        self._socket.close()
+        self._server.close()
+        if self._fetch is not None:
+            self._fetch.close()
+
+    def send(self, effect: SendHeartbeat) -> None:
+        """Send a heartbeat; one that the kernel refuses is lost like any other."""
+        raw = encode_heartbeat(effect.heartbeat)
+        for address in effect.addresses:
+            try:
+                self._socket.sendto(raw, address)
+            except OSError as fault:
+                self._note_fault(f'heartbeat: {fault}', raw)
+
+    def fetch(self, effect: FetchView) -> None:
+        """Ask a peer for its view; an older question is given up."""
+        if self._fetch is not None:
+            self._fetch.close()
+        address = effect.address
+        self._fetch = HttpConnection(self._loop, address)
+        self._fetch.get(
+            Call(
+                f'{_PATH}{effect.text_revision}/{effect.upstreams_revision}',
+                monotonic() + FETCH_S,
+                lambda status, body: self._take_view(address, status, body),
+                lambda problem: self._emit(ViewFailed(address, problem)),
+            ),
+        )
+
+    def _take_view(self, address: tuple[str, int], status: int, body: bytes) -> None:
+        if self._fetch is not None:
+            self._fetch.close()
+        try:
+            view = decode_view(body)
+        except MessageError as fault:
+            self._emit(ViewFailed(address, f'status {status}, {fault}'))
+            return
+        self._emit(ViewFetched(address, view))
+
+    def _receive(self, mask: int) -> None:
+        for _ in range(_BATCH):
+            try:
+                raw = self._socket.recv(_MOST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                self._note_fault(f'peers: {fault}', b'')
+                return
+            self._take(raw)
+
+    def _take(self, raw: bytes) -> None:
+        try:
+            heartbeat = decode_heartbeat(raw)
+        except MessageError as fault:
+            self._note_fault(str(fault), raw)
+            return
+        self._emit(HeartbeatHeard(heartbeat))
+
+    def _answer_to(self, target: str) -> Answer:
+        if not target.startswith(_PATH):
+            return Answer(NOT_FOUND)
+        text, _, upstreams = target.removeprefix(_PATH).partition('/')
+        if not text.isdecimal() or not upstreams.isdecimal():
+            return Answer(BAD_REQUEST)
+        return Answer(OK, encode_view(self._view_since(int(text), int(upstreams))))
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -26,16 +26,19 @@
 class EntrySettings:
     """Hold all settings of one balancer.
 
-    `packets`, `readiness` and `store` are addresses; `readiness_path` is what
-    the fabric's probes ask for; `stop_within_s` bounds a planned stop.
+    `packets`, `peers`, `readiness` and `store` are addresses; `seeds` are
+    those of some peers.  `readiness_path` is what the fabric's probes ask for;
+    `stop_within_s` bounds a planned stop.
     """
 
     __slots__ = (
         'data_centre',
         'name',
         'packets',
+        'peers',
         'readiness',
         'readiness_path',
+        'seeds',
         'stop_within_s',
         'store',
     )
@@ -45,6 +48,8 @@
         self.name = _text(fields, 'name')
         self.data_centre = _text(fields, 'data_centre')
         self.packets = _address(fields, 'packets')
+        self.peers = _address(fields, 'peers')
+        self.seeds = _addresses(fields, 'seeds')
         self.readiness = _address(fields, 'readiness')
         self.readiness_path = _text(fields, 'readiness_path')
         self.store = _address(fields, 'store')
@@ -85,8 +90,20 @@
     return found
 
 
+def _addresses(fields: Mapping[str, Any], name: str) -> tuple[tuple[str, int], ...]:
+    listed = fields.get(name)
+    if not isinstance(listed, list):
+        raise SettingsError(f'$.{name}: {listed!r} is no list of addresses')
+    return tuple(_checked(found, f'{name}[{place}]') for place, found in enumerate(listed))
+
+
 def _address(fields: Mapping[str, Any], name: str) -> tuple[str, int]:
-    found = _text(fields, name)
+    return _checked(_text(fields, name), name)
+
+
+def _checked(found: Any, name: str) -> tuple[str, int]:
+    if not isinstance(found, str):
+        raise SettingsError(f'$.{name}: {found!r} is no text')
     host, _, port = found.rpartition(':')
     octets = host.split('.')
     is_ip = len(octets) == _OCTETS and all(_is_octet(octet) for octet in octets)
