Send work to another data centre when it would wait long at home

Change: an upstream of another data centre is taken to have a load of 2 beside what is seen of it, and competes with the own ones. Loads that peers see count. Beside it: a peer in the dark is answered at once, also from another data centre.

--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -22,8 +22,8 @@
 
 #: Seconds for which a first upstream avoids new flows after an opening packet
 #: that it left unanswered; each further one in a row doubles it.
-#: Source: an opening packet is repeated after 0.2 and 0.6 s, so a lost packet
-#: costs an upstream no more than a caller's first two tries.
+#: Source: an opening packet is repeated after 0.2 and 0.6 s; a repeat must find
+#: the upstream of the packet before it still avoided.
 AVOID_S = 0.5
 
 #: Seconds that an upstream is avoided at most before it is tried again.
@@ -49,7 +49,6 @@
         'repeats',
         'seen_at',
         'sequence',
-        'tried',
         'upstream',
     )
 
@@ -65,7 +64,6 @@
         self.answered = False
         self.busy = False
         self.closed = False
-        self.tried: frozenset[str] = frozenset()
 
 
 class FlowTable:
@@ -84,7 +82,7 @@
         """Return a flow, None when it is not remembered."""
         return self._by_key.get(key)
 
-    def place(self, key: bytes, upstream: Upstream, now: float) -> Flow:
+    def place(self, key: bytes, upstream: Upstream, now: float) -> None:
         """Note that an opening packet goes to `upstream`."""
         self.drop(key)
         flow = Flow(upstream, now)
@@ -93,7 +91,6 @@
         self._mark_busy(key, flow, now)
         if len(self._by_key) > MOST_FLOWS:
             self.drop(next(iter(self._by_key)))
-        return flow
 
     def see(self, packet: FlowPacket, upstream: Upstream | None, now: float) -> Flow:
         """Note a packet of an open flow; return the flow."""
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -16,21 +16,17 @@
 IDLE_FLOW_LOAD = 0.02
 
 
+#: Load that an upstream of another data centre is taken to have beside what is
+#: seen of it: flows that its own data centre sends there, and the distance.
+FAR_LOAD = 2.0
+
+
 class Placement(ABC):
     """Choose among upstreams; every policy answers one load pattern."""
 
     @abstractmethod
-    def choose(
-        self,
-        candidates: Iterable[Upstream],
-        tried: frozenset[str],
-        now: float,
-    ) -> Upstream | None:
-        """Return the upstream for a new flow, None if none may get it.
-
-        `tried` names those that left an earlier opening packet of the same
-        flow unanswered.
-        """
+    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+        """Return the upstream for a new flow, None if none may get it."""
 
 
 class LeastBusy(Placement):
@@ -47,12 +43,7 @@
         self._data_centre = data_centre
         self._turn = 0
 
-    def choose(
-        self,
-        candidates: Iterable[Upstream],
-        tried: frozenset[str],
-        now: float,
-    ) -> Upstream | None:
+    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
         """Return the upstream with the least load among the nearest that answer."""
         best: Upstream | None = None
         best_rank: tuple[float, ...] = ()
@@ -60,26 +51,23 @@
         for place, upstream in enumerate(candidates):
             if not upstream.takes_flows(now):
                 continue
-            rank = (*self._reluctance(upstream, tried, now), (place + self._turn) % _TURNS)
+            rank = (*self._reluctance(upstream, now), (place + self._turn) % _TURNS)
             if best is None or rank < best_rank:
                 best = upstream
                 best_rank = rank
         return best
 
-    def _reluctance(
-        self,
-        upstream: Upstream,
-        tried: frozenset[str],
-        now: float,
-    ) -> tuple[float, ...]:
+    def _reluctance(self, upstream: Upstream, now: float) -> tuple[float, ...]:
         """Rank an upstream; smaller is better.
 
-        One that was tried or that does not answer comes after all others of
-        any data centre, and is still better than nobody.
+        One that does not answer comes after all others of any data centre, and
+        is still better than nobody.
         """
-        silent = upstream.entry.name in tried or now < upstream.avoided_until
-        far = upstream.entry.data_centre != self._data_centre
-        return (silent, upstream.missing_at is not None, far, load_of(upstream, now))
+        silent = now < upstream.avoided_until
+        load = load_of(upstream, now)
+        if upstream.entry.data_centre != self._data_centre:
+            load += FAR_LOAD
+        return (silent, upstream.missing_at is not None, load)
 
 
 def load_of(upstream: Upstream, now: float) -> float:
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -41,12 +41,20 @@
 
 
 def hear(state: RoutingState, event: HeartbeatHeard, now: float) -> list[Effect]:
-    """Take a heartbeat; answer a new peer at once, and ask for what is new."""
+    """Take a heartbeat, and ask for what is new.
+
+    A peer that is new or knows nothing is answered at once: it may be in
+    another data centre, which is told seldom, and in the dark until then.
+    One that knows nothing itself answers only a new peer, else two in the
+    dark would answer each other without end.
+    """
     heartbeat = event.heartbeat
     effects: list[Effect] = []
     sender = heartbeat.sender
-    if state.peers.hear(heartbeat, now):
+    joined = state.peers.hear(heartbeat, now)
+    if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
+    if joined or (state.text_revision and not heartbeat.text_revision):
         answer = _heartbeat(state, sender.data_centre, now)
         effects.append(SendHeartbeat(answer, [sender.address]))
     if _knows_more(state, heartbeat) and now >= state.fetch_until:
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -63,18 +63,16 @@
 
     def _open(self, packet: FlowPacket, route: Route, now: float) -> Verdict:
         flow = self._state.flows.find(packet.flow)
-        tried: frozenset[str] = frozenset()
         if flow is not None and flow.upstream is not None and _is_repeat(packet, flow, now):
             if now < flow.opened_at + COPY_GAP_S or flow.answered:
                 return Deliver(flow.upstream, _id_of(flow.upstream, route))
             self._state.flows.blame(flow, now)
-            tried = flow.tried | {flow.upstream.entry.name}
         service = _pick(route.shares, packet.flow)
         candidates = self._state.directory.of_service(service)
-        upstream = self._placement.choose(candidates, tried, now)
+        upstream = self._placement.choose(candidates, now)
         if upstream is None:
             return self._without_upstream(packet, now)
-        self._state.flows.place(packet.flow, upstream, now).tried = tried
+        self._state.flows.place(packet.flow, upstream, now)
         self._journal.note(Decision('placed', packet, upstream.entry.name, upstream), now)
         return Deliver(upstream, _id_of(upstream, route))
 
--- a/tests/test_connection_ids.py
+++ b/tests/test_connection_ids.py
@@ -6,6 +6,7 @@
 from bronzekeel.core.routing.flows import MOST_AVOID_S
 from bronzekeel.core.routing.follower import ANSWER_S, WATCH_S, Collection
 from bronzekeel.core.routing.model import UpstreamEntry
+from bronzekeel.core.routing.placement import FAR_LOAD
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import COPY_GAP_S
@@ -168,6 +169,39 @@
         self.assertEqual(entry(2).name, delivered_to(chosen.decide(opening(2), 1)))
 
 
+class DistanceTest(TestCase):
+    """Upstreams of other data centres."""
+
+    def test_the_own_data_centre_comes_first(self) -> None:
+        """A quiet data centre keeps its flows."""
+        chosen = steering(ready_state(entry(1), entry(2, data_centre='dc-b')))
+        names = {delivered_to(chosen.decide(opening(number), 0)) for number in range(4)}
+        self.assertEqual({entry(1).name}, names)
+
+    def test_work_that_would_wait_long_goes_to_another(self) -> None:
+        """Symptom: one data centre refuses a tenth of its callers while others idle.
+
+        Sequence: upstreams of one data centre are lost; those that are left
+        have all slots taken and as much waiting again.
+        Cause: never leaving the data centre while an upstream of it lives.
+        """
+        chosen = steering(ready_state(entry(1), entry(2, data_centre='dc-b')))
+        names = [delivered_to(chosen.decide(opening(number), 0)) for number in range(20)]
+        near = names.count(entry(1).name)
+        slots = entry(1).slots
+        self.assertGreater(near, FAR_LOAD * slots)
+        self.assertGreater(20 - near, 0)
+        self.assertLessEqual(near - (20 - near), (FAR_LOAD + 1) * slots)
+
+    def test_an_upstream_that_answers_is_better_than_a_near_one(self) -> None:
+        """Silent upstreams of the own data centre come after all others."""
+        state = ready_state(entry(1), entry(2, data_centre='dc-b'))
+        chosen = steering(state)
+        chosen.decide(opening(1), 0)
+        again = chosen.decide(opening(1, copy=1), 0.2)
+        self.assertEqual(entry(2).name, delivered_to(again))
+
+
 class RepeatTest(TestCase):
     """Opening packets that come again."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -5,7 +5,7 @@
 from bronzekeel.core.routing.events import ViewFetched
 from bronzekeel.core.routing.follower import WATCH_S, Collection
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
-from bronzekeel.core.routing.peers import FORGET_S, MOST_PEERS, WATCHERS, PeerTable
+from bronzekeel.core.routing.peers import FORGET_S, MOST_PEERS, NAMED_S, WATCHERS, PeerTable
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.sharing import view_since
 from tests.routing_cases import (
@@ -152,6 +152,44 @@
         fleet.run(1)
         self.assertEqual(3, sum(node.state.ready for node in fleet.running))
 
+    def test_a_dark_data_centre_learns_from_another(self) -> None:
+        """Symptom: a data centre serves nothing though others know everything.
+
+        Sequence: all its hosts lose power while the store turns them away.
+        Cause: asking only peers of the own data centre.
+        """
+        fleet = fleet_of(2)
+        fleet.run(5)
+        dark = ['dc-b-1', 'dc-b-2']
+        fleet.lose_store(dark, 'refuses')
+        for name in dark:
+            fleet.kill(name)
+        fleet.run(1)
+        for name in dark:
+            fleet.restart(name)
+        fleet.run(1)
+        for name in dark:
+            self.assertTrue(fleet.node_by_name[name].state.ready)
+
+    def test_two_in_the_dark_do_not_answer_each_other_for_ever(self) -> None:
+        """Symptom: two hosts that know nothing fill their link with heartbeats.
+
+        Sequence: the store is away; two hosts start.
+        Cause: answering whoever knows nothing.
+        """
+        fleet = fleet_of(2, ('dc-a',))
+        names = list(fleet.node_by_name)
+        fleet.lose_store(names, 'refuses')
+        for name in names:
+            fleet.kill(name)
+        fleet.run(1)
+        for name in names:
+            fleet.restart(name)
+        before = sum(node.heartbeats for node in fleet.running)
+        fleet.run(5)
+        sent = sum(node.heartbeats for node in fleet.running) - before
+        self.assertLess(sent, 200)
+
     def test_removals_are_told_with_their_time_to_return(self) -> None:
         """A host that is told of a removal counts it gone when the teller does."""
         fleet = fleet_of(4, ('dc-a',))
@@ -208,6 +246,18 @@
         for name in ('dc-a-1', 'dc-a-2'):
             self.assertNotIn('dc-a-3', fleet.node_by_name[name].state.peers.by_name)
 
+    def test_silent_peers_are_not_named(self) -> None:
+        """Symptom: a host that was replaced is remembered for ever.
+
+        Sequence: it falls silent; two others learned of it at different times.
+        Cause: naming it to each other in turn, each time as if it were news.
+        """
+        table = PeerTable(PeerAddress('me', 'dc', ('me', 9)), ())
+        table.hear(Heartbeat(PeerAddress('old', 'dc', ('old', 9)), 1, 1, {}), 0)
+        named = [peer.name for peer in table.some_others('dc', 1)]
+        self.assertEqual(['old'], named)
+        self.assertEqual((), table.some_others('dc', NAMED_S + 1))
+
     def test_heartbeats_are_bounded_in_a_large_data_centre(self) -> None:
         """Symptom: control traffic grows with the square of the fleet.
 
