--- a/src/bronzekeel/commands/demo.py
+++ b/src/bronzekeel/commands/demo.py
@@ -3,11 +3,13 @@
 from argparse import ArgumentParser, Namespace
 from asyncio import run
 
+from msgspec import Struct
 from msgspec.json import encode
 from msgspec.structs import asdict
 
 from bronzekeel.commands.base import Command, ExitCode
 from bronzekeel.commands.output import say
+from bronzekeel.demo.connection_ids import play_connection_ids
 from bronzekeel.demo.scenario import play
 
 
@@ -24,12 +26,19 @@
 
     def run(self, options: Namespace) -> ExitCode:
         """Play, then print a table and one line of JSON."""
+        by_id = run(play_connection_ids(_progress, options.seed))
         outcome = run(play(_progress, options.seed))
-        say()
-        for name, counted in asdict(outcome).items():
-            say(f'{name:26} {counted}')
-        say(encode(outcome).decode())
-        return ExitCode.DONE if outcome.ok else ExitCode.REFUSED
+        _show(by_id)
+        _show(outcome)
+        return ExitCode.DONE if outcome.ok and by_id.ok else ExitCode.REFUSED
+
+
+def _show(outcome: Struct) -> None:
+    """Print what was counted, as a table and as one line of JSON."""
+    say()
+    for name, counted in asdict(outcome).items():
+        say(f'{name:26} {counted}')
+    say(encode(outcome).decode())
 
 
 def _progress(words: str) -> None:
