Give entries that lapse together the time to come back

Change: as many lapses within 2.5 s as entries are left make an outage of the store; they are given the same time to come back as after one that was noticed.

Ruled out: a grace for every lapse (new flows would go to a crashed upstream for 2.5 s more); using gone upstreams as a last resort (callers of a service that is really gone would wait instead of being refused).

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -12,6 +12,10 @@
 #: Source: the users say about two seconds; half a second is for reading it.
 RETURN_GRACE_S = 2.5
 
+#: Lapses that make an outage at least: as many as are still listed, and these.
+#: Source: a service of three of which two crash is no outage.
+_FEWEST_LAPSES = 3
+
 #: Seconds for which upstreams that are gone are remembered, so that packets
 #: of their flows still reach one that lives unlisted.  Source: the users'
 #: bound on the age of a flow.
@@ -34,6 +38,7 @@
         self.newest_revision = 0
         self.ordered = True
         self.changes = 0
+        self._lapsed: list[Upstream] = []
 
     @property
     def listed_count(self) -> int:
@@ -84,6 +89,8 @@
         known.missing_at = now
         known.left = known.entry.draining
         known.gone_at = now if known.left else max(now, self.unsettled_until)
+        if not known.left:
+            self._suspect_outage(known, now)
         return known
 
     def forget_old(self, now: float) -> None:
@@ -93,6 +100,25 @@
                 continue
             self._remove(name)
 
+    def _suspect_outage(self, lapsed: Upstream, now: float) -> None:
+        """Take entries that lapse together for an outage of the store.
+
+        What goes wrong without it: a watch that waits through an outage tells
+        of all lapses at once when the store is back, before the entries are
+        written again, and every caller is refused until then.  Crashes take
+        one upstream at a time, and a cut a data centre's.
+        """
+        self._lapsed = [
+            other
+            for other in (*self._lapsed, lapsed)
+            if other.missing_at is not None and now < other.missing_at + RETURN_GRACE_S
+        ]
+        if len(self._lapsed) < max(_FEWEST_LAPSES, self.listed_count):
+            return
+        self.note_regained(now)
+        for other in self._lapsed:
+            other.gone_at = max(other.gone_at, self.unsettled_until)
+
     def _add(self, entry: UpstreamEntry, now: float) -> None:
         """Add an upstream.
 
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -177,5 +177,5 @@
     upstream = state.directory.by_name.get(missing.name)
     if effects and upstream is not None:
         upstream.left = missing.left
-        upstream.gone_at = now + missing.gone_in_s
+        upstream.gone_at = max(upstream.gone_at, now + missing.gone_in_s)
     return effects
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -193,6 +193,32 @@
         verdict = fleet.decide('dc-a-1', opening(1))
         self.assertEqual(entry(1).name, delivered_to(verdict))
 
+    def test_entries_that_lapse_together_get_time_to_return(self) -> None:
+        """Symptom: right after an outage callers are refused for want of an upstream.
+
+        Sequence: the store is away, but a host's waiting watch survives that;
+        the entries lapse, the watch tells so, and they are back a moment later.
+        Cause: taking an outage that this host did not notice for many crashes.
+        """
+        state = ready_state(*(entry(number) for number in range(1, 7)))
+        lapsed = [StoredObject(entry(number).name, 50 + number, None) for number in range(1, 7)]
+        reduce(state, ChangesRead(Collection.UPSTREAMS, lapsed, 60), 10)
+        chosen = steering(state)
+        names = {delivered_to(chosen.decide(opening(number), 10.1)) for number in range(12)}
+        self.assertEqual({entry(number).name for number in range(1, 7)}, names)
+        late = 10 + RETURN_GRACE_S + 0.1
+        for collection in Collection:
+            reduce(state, ChangesRead(collection, [], 61), late)
+        self.assertEqual('Reset no_upstream', delivered_to(chosen.decide(opening(99), late)))
+
+    def test_a_few_that_lapse_are_gone(self) -> None:
+        """Less than half of all is no outage of the store."""
+        state = ready_state(*(entry(number) for number in range(1, 7)))
+        lapsed = [StoredObject(entry(number).name, 50 + number, None) for number in (1, 2)]
+        reduce(state, ChangesRead(Collection.UPSTREAMS, lapsed, 60), 10)
+        gone = [upstream.is_gone(10) for upstream in state.directory.by_name.values()]
+        self.assertEqual(2, sum(gone))
+
     def test_a_lapse_while_the_store_is_steady_counts_at_once(self) -> None:
         """Symptom: new flows go to a crashed upstream for seconds more.
 
