--- a/src/bronzekeel/adapters/codec.py
+++ b/src/bronzekeel/adapters/codec.py
@@ -6,6 +6,8 @@
 fixed places, since every microsecond counts there.
 """
 
+from struct import Struct
+
 from bronzekeel.core.events import Packet
 from bronzekeel.core.hashing import flow_hash
 from bronzekeel.core.steering.packets import DropReason
@@ -29,10 +31,13 @@
 _LEAST_BYTES = _LEAST_IP + _LEAST_TCP
 _PLAIN_IP = 0x45
 _PLAIN_TCP = 0x50
-_FRAGMENT_HIGH = 0x3F
 _FLAGS_AT = 13
 _DATA_OFFSET_AT = 12
 
+#: Of a packet without IP options: version and length, total length, fragment
+#: bits, protocol, addresses and ports in one piece, TCP data offset, flags.
+_PLAIN = Struct('!BxH2xHxB2x12s8xBB').unpack_from
+
 #: Largest inner packet; more would not fit a datagram with its header.
 MOST_BYTES = 65000
 
@@ -46,13 +51,12 @@
     """Return the packet in a datagram, or why it is dropped."""
     if len(raw) < _LEAST_BYTES:
         return DropReason.MALFORMED
-    if raw[0] == _PLAIN_IP and raw[9] == _TCP and not raw[7] and not raw[6] & _FRAGMENT_HIGH:
-        length = raw[2] << 8 | raw[3]
-        if length == len(raw) and length <= MOST_BYTES and raw[32] >= _PLAIN_TCP:
-            flags = raw[33]
+    first, length, fragment, protocol, ends, data_offset, flags = _PLAIN(raw)
+    if first == _PLAIN_IP and protocol == _TCP and not fragment & _FRAGMENT_BITS:
+        if length == len(raw) and length <= MOST_BYTES and data_offset >= _PLAIN_TCP:
             return Packet(
-                raw[16:20] + raw[22:24],
-                flow_hash(raw[12:24]),
+                ends[4:8] + ends[10:],
+                flow_hash(ends),
                 flags & _SYN_ACK_BITS == _SYN,
                 flags & _FIN_RST_BITS != 0,
                 raw,
--- a/src/bronzekeel/adapters/packets.py
+++ b/src/bronzekeel/adapters/packets.py
@@ -4,11 +4,12 @@
 from collections import Counter
 from collections.abc import Callable
 from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from time import monotonic
 
 from bronzekeel.adapters.codec import hand_header, read_packet
 from bronzekeel.core.effects import Drop, Forward, Hand
 from bronzekeel.core.events import Packet
-from bronzekeel.core.steering.packets import DropReason
+from bronzekeel.core.steering.packets import DropReason, Verdict
 
 
 #: Datagrams taken at once before other work gets its turn.
@@ -17,25 +18,27 @@
 _RECEIVE_BUFFER = 4 * 1024 * 1024
 
 _Address = tuple[str, int]
+_Decide = Callable[[Packet, float], Verdict]
 
 
 class PacketSocket:
     """Own the UDP socket for packets of flows.
 
-    `decide` gives the verdict on a packet; `address_of` gives a balancer's
-    packet address by name, None when it is not known.
+    `address_of` gives a balancer's packet address by name, None when it is not
+    known.  What ``steer_by`` was given decides on packets.
     """
 
     def __init__(
         self,
         address: str,
         port: int,
-        decide: Callable[[Packet], Forward | Hand | Drop],
         address_of: Callable[[str], _Address | None],
+        clock: Callable[[], float] = monotonic,
     ) -> None:
         """Bind the socket; port 0 takes a free one."""
         self.counts: Counter[str] = Counter()
-        self._decide = decide
+        self._decide: _Decide = _drop_unready
+        self._clock = clock
         self._address_of = address_of
         self._endpoints: dict[str, _Address] = {}
         self._loop: AbstractEventLoop | None = None
@@ -54,6 +57,10 @@
         self._loop = loop
         loop.add_reader(self._socket.fileno(), self.take_batch)
 
+    def steer_by(self, decide: _Decide) -> None:
+        """Let `decide` give the verdict on each packet, with the batch's time."""
+        self._decide = decide
+
     def close(self) -> None:
         """Stop to take packets and free the socket."""
         if self._loop is not None:
@@ -65,6 +72,7 @@
         receive = self._socket.recv
         send = self._socket.sendto
         decide = self._decide
+        now = self._clock()
         endpoints = self._endpoints
         forwarded = 0
         try:
@@ -73,7 +81,7 @@
                 if not isinstance(packet, Packet):
                     self.counts[packet] += 1
                     continue
-                verdict = decide(packet)
+                verdict = decide(packet, now)
                 # The common verdict is carried out in place: calls cost here.
                 if (
                     not isinstance(verdict, Forward)
@@ -121,3 +129,7 @@
             self._socket.sendto(raw, address)
         except OSError:
             self.counts['send_error'] += 1
+
+
+def _drop_unready(packet: Packet, now: float) -> Verdict:
+    return Drop(DropReason.NOT_READY)
--- a/src/bronzekeel/balancer/daemon.py
+++ b/src/bronzekeel/balancer/daemon.py
@@ -42,7 +42,6 @@
 from bronzekeel.core.events import (
     Event,
     HostsListed,
-    Packet,
     PeerSaid,
     StopAsked,
     Ticked,
@@ -85,7 +84,6 @@
         self.callers = Callers(self.events.on_next, clock, self._note_end)
         self.platform = PlatformClient(settings.platform)
         self.state: BalancerState | None = None
-        self._steering: KeeperSteering | None = None
         self.me: HostEntry | None = None
         self._clock = clock
         self._texts = TextSource(self.platform, self.events.on_next)
@@ -93,8 +91,8 @@
         self._packets = PacketSocket(
             settings.address,
             settings.ports.packets,
-            self._decide,
             self._packet_address,
+            clock,
         )
         self._prober = HealthProber(
             self.events.on_next,
@@ -153,7 +151,7 @@
         incarnation = time_ns() // _NANOSECONDS_IN_MS
         now = self._clock()
         self.state = BalancerState.fresh(self.me, incarnation, now)
-        self._steering = KeeperSteering(self.state, self.effects.on_next)
+        self._packets.steer_by(KeeperSteering(self.state, self.effects.on_next).decide)
         self._recorder.begin(now, self.me, incarnation)
         self.events.subscribe(self._reduce)
         self.effects.subscribe(self._carry_out)
@@ -225,12 +223,6 @@
     def _carry_out(self, effect: Effect) -> None:
         self._handlers[type(effect)](effect)
 
-    def _decide(self, packet: Packet) -> Forward | Hand | Drop:
-        """Give the verdict on a packet; nothing is known before the start."""
-        if self._steering is None:
-            return Drop('not_ready')
-        return self._steering.decide(packet, self._clock())
-
     def _kept_upstreams(self) -> list[tuple[str, str]]:
         return kept_upstreams(self.state, self._clock()) if self.state else []
 
--- a/src/bronzekeel/bench/forward.py
+++ b/src/bronzekeel/bench/forward.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
 from statistics import median
-from time import monotonic, perf_counter
+from time import perf_counter
 
 from msgspec import Struct
 from reactivex.subject import Subject
@@ -16,7 +16,7 @@
 from bronzekeel.bench.connection_id_path import ConnectionIdPath
 from bronzekeel.bench.flow_trials import bench_hosts, portal
 from bronzekeel.core.catalogue import Catalogue
-from bronzekeel.core.effects import Drop, Effect, Forward, Hand
+from bronzekeel.core.effects import Effect
 from bronzekeel.core.events import Packet
 from bronzekeel.core.hashing import service_key
 from bronzekeel.core.reducer import packet_verdict
@@ -81,7 +81,8 @@
         self._floor_in = _udp()
         self._state = _ready_state(self._sink.getsockname())
         self._steering = KeeperSteering(self._state, _ignore)
-        self._path = PacketSocket(_LOOPBACK, 0, self._decide, self._handed_address)
+        self._path = PacketSocket(_LOOPBACK, 0, self._handed_address)
+        self._path.steer_by(self._steering.decide)
         self._by_id = ConnectionIdPath(self._sink.getsockname())
         self._settled = self._packets(Stage.SETTLED)
         self._acting = self._packets(Stage.ACTING)
@@ -156,9 +157,6 @@
             xxh3_64_intdigest(raw[12:20] + raw[20:24])
             self._floor_in.sendto(raw, target)
 
-    def _decide(self, packet: Packet) -> Forward | Hand | Drop:
-        return self._steering.decide(packet, monotonic())
-
     def _handed_address(self, name: str) -> tuple[str, int]:
         return self._sink.getsockname()
 
