Explain from logs what became of a flow

Cause: on-call engineers had log lines of many hosts and no way from a failed request to its cause.

Change: `bronzekeel explain` puts the lines of a flow, its upstreams and its hosts in one order, also when a time of day jumped, and names the cause.

--- a/src/bronzekeel/commands/main.py
+++ b/src/bronzekeel/commands/main.py
@@ -8,6 +8,7 @@
 from bronzekeel.commands.base import Command, ExitCode
 from bronzekeel.commands.bench import BenchCommand
 from bronzekeel.commands.demo import DemoCommand
+from bronzekeel.commands.explain import ExplainCommand
 from bronzekeel.commands.inspect import EventsCommand, StatusCommand
 from bronzekeel.commands.replay import ReplayCommand
 from bronzekeel.commands.report import ReportCommand
@@ -22,6 +23,7 @@
     DiffCommand,
     StatusCommand,
     EventsCommand,
+    ExplainCommand,
     ReportCommand,
     ReplayCommand,
     BenchCommand,
--- /dev/null
+++ b/src/bronzekeel/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explain from logs what became of one flow."""
