Rely on nothing from before a pause until it is proved again

Cause: a suspended host's steady clock does not count the suspension, and a process that is stopped for less than a watch's wait finds its view still valid by the clock. It would refuse a route that was added meanwhile.

Change: the loop compares the planned wait with what passed, on the steady clock and on one that counts suspensions; after a pause views and peers count as not current until they are heard again.

Ruled out: the time of day, which jumps.

--- a/src/bronzekeel/core/routing/events.py
+++ b/src/bronzekeel/core/routing/events.py
@@ -22,6 +22,16 @@
     __slots__ = ()
 
 
+class Paused(Event):
+    """Tell that the process or its host stood still."""
+
+    __slots__ = ('paused_s',)
+
+    def __init__(self, paused_s: float) -> None:
+        """Keep for how many seconds."""
+        self.paused_s = paused_s
+
+
 class StopAsked(Event):
     """Tell that the operator stops this balancer in a planned way."""
 
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -130,6 +130,13 @@
                 self.by_name[other.name] = Peer(other, now)
         return not known
 
+    def doubt_all(self) -> None:
+        """Rely on no peer before it is heard again."""
+        for peer in self.by_name.values():
+            if peer.heard_at is not None:
+                peer.known_at = peer.heard_at
+            peer.heard_at = None
+
     def forget_silent(self, now: float) -> None:
         """Forget those of whom nothing was heard for long."""
         for name, peer in list(self.by_name.items()):
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -16,6 +16,7 @@
     HeartbeatHeard,
     HistoryLost,
     PageRead,
+    Paused,
     ProbeAnswered,
     SettingsChanged,
     Started,
@@ -194,6 +195,14 @@
     return [stopping, *announce_change(state, now)]
 
 
+def _on_pause(state: RoutingState, event: Paused, now: float) -> list[Effect]:
+    """Rely on nothing that was valid before a pause until it is proved again."""
+    for follower in state.follower_by_collection.values():
+        follower.current_until = 0
+    state.peers.doubt_all()
+    return [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
+
+
 def _on_settings(state: RoutingState, event: SettingsChanged, now: float) -> list[Effect]:
     if event.problem:
         return [WriteLine(LogNumber.SETTINGS_REFUSED, problem=event.problem)]
@@ -240,6 +249,7 @@
         CallFailed: _on_failure,
         ProbeAnswered: _on_probe,
         StopAsked: _on_stop,
+        Paused: _on_pause,
         SettingsChanged: _on_settings,
         HeartbeatHeard: on_heartbeat,
         ViewFetched: take_view,
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -20,6 +20,7 @@
 from bronzekeel.core.routing.events import (
     CallFailed,
     Event,
+    Paused,
     ProbeAnswered,
     SettingsChanged,
     Started,
@@ -97,6 +98,7 @@
             for collection in self.state.follower_by_collection
         }
         self._next_tick_at = monotonic()
+        self.loop.on_pause = self._note_pause
         self._handlers: dict[type[Effect], Callable[..., None]] = {
             WriteLine: self._write_line,
             ReadPage: self._read_page,
@@ -177,6 +179,9 @@
             ),
         )
 
+    def _note_pause(self, paused_s: float) -> None:
+        self.take(Paused(paused_s))
+
     def _tick(self) -> None:
         self.state.stopping.last_packet_at = self.packets.last_packet_at
         self.take(Ticked())
--- a/src/bronzekeel/entry/loop.py
+++ b/src/bronzekeel/entry/loop.py
@@ -9,11 +9,16 @@
 from heapq import heappop, heappush
 from selectors import DefaultSelector
 from socket import socket
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic
 
 
 _Callback = Callable[[int], None]
 
+#: Seconds between two rounds beyond the planned wait that make a pause.
+#: Source: the longest work of one round, a large text read on the smallest
+#: host, takes a tenth of it.
+PAUSE_S = 0.5
+
 
 class Deadline:
     """Hold one call that is due at a moment of the steady clock."""
@@ -35,14 +40,56 @@
         self.cancelled = True
 
 
+def counting_time() -> float:
+    """Return the seconds of a clock that counts suspensions too."""
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+class PauseDetector:
+    """Tell when the process or its host stood still.
+
+    What goes wrong without it: a host that wakes believes its old view to be
+    current, since its steady clock did not count a suspension, or its word was
+    valid for longer than it slept; it then refuses what is in force by now.
+    """
+
+    def __init__(
+        self,
+        steady: Callable[[], float] = monotonic,
+        counting: Callable[[], float] = counting_time,
+    ) -> None:
+        """Compare `steady` with `counting`, which counts suspensions too."""
+        self._steady = steady
+        self._counting = counting
+        self._expected_at = steady()
+        self._offset = counting() - self._expected_at
+
+    def plan(self, wait_s: float | None) -> None:
+        """Note that the next round is due in `wait_s` seconds at the latest."""
+        self._expected_at = self._steady() + (wait_s or 0)
+
+    def paused_s(self) -> float:
+        """Return the seconds that were slept beyond the plan, zero if it was no pause."""
+        now = self._steady()
+        offset = self._counting() - now
+        slept_s = max(now - self._expected_at, 0) + max(offset - self._offset, 0)
+        self._offset = offset
+        return slept_s if slept_s > PAUSE_S else 0
+
+
 class Loop:
-    """Call back for ready sockets and for deadlines that have passed."""
+    """Call back for ready sockets and for deadlines that have passed.
+
+    After a pause `on_pause` is called with its length before anything else.
+    """
 
     def __init__(self) -> None:
         """Start with nothing to wait for."""
+        self.on_pause: Callable[[float], None] | None = None
         self._selector = DefaultSelector()
         self._deadlines: list[Deadline] = []
         self._running = False
+        self._pauses = PauseDetector()
 
     @property
     def running(self) -> bool:
@@ -71,7 +118,11 @@
         """Serve until ``stop``."""
         self._running = True
         while self._running:
-            for key, mask in self._selector.select(self._wait_s()):
+            wait_s = self._wait_s()
+            self._pauses.plan(wait_s)
+            ready = self._selector.select(wait_s)
+            self._note_pause()
+            for key, mask in ready:
                 key.data(mask)
             self._call_due(monotonic())
 
@@ -83,6 +134,11 @@
         """Free the selector."""
         self._selector.close()
 
+    def _note_pause(self) -> None:
+        paused_s = self._pauses.paused_s()
+        if paused_s and self.on_pause is not None:
+            self.on_pause(paused_s)
+
     def _wait_s(self) -> float | None:
         if not self._deadlines:
             return None
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -10,6 +10,7 @@
     ChangesRead,
     HistoryLost,
     PageRead,
+    Paused,
     ProbeAnswered,
     Started,
     StopAsked,
@@ -22,6 +23,7 @@
 from bronzekeel.core.routing.messages import View
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.stopping import REFUSALS, Stopping
+from bronzekeel.entry.loop import PauseDetector
 from tests.routing_cases import (
     PORTAL,
     PORTAL_KEY,
@@ -311,6 +313,58 @@
             self.assertEqual(sorted(node.revisions), node.revisions)
 
 
+class PauseTest(TestCase):
+    """A host that stood still."""
+
+    def test_a_host_that_wakes_refuses_nothing_unread(self) -> None:
+        """Symptom: callers of a new route are refused by a host that was frozen.
+
+        Sequence: a host is frozen; a text adds a route; the host wakes and gets
+        packets before the answer to its watch.
+        Cause: a view that was current before the pause.
+        """
+        state = ready_state(entry(1))
+        chosen = steering(state)
+        nowhere = bytes((198, 18, 0, 9, 0, 80))
+        self.assertEqual('Reset no_route', delivered_to(chosen.decide(opening(1, key=nowhere), 1)))
+        reduce(state, Paused(4), 1)
+        verdict = chosen.decide(opening(2, key=nowhere), 1)
+        self.assertEqual('Discard no_route', delivered_to(verdict))
+        for collection in Collection:
+            reduce(state, ChangesRead(collection, [], 70), 1.1)
+        verdict = chosen.decide(opening(3, key=nowhere), 1.2)
+        self.assertEqual('Reset no_route', delivered_to(verdict))
+
+    def test_peers_are_relied_on_when_they_are_heard_again(self) -> None:
+        """Symptom: a host that wakes believes a peer's word from before the pause.
+
+        Sequence: one of five hosts, which does not watch, is frozen.
+        Cause: counting a heartbeat's age by a clock that stood still too.
+        """
+        fleet = fleet_of(5, ('dc-a',))
+        fleet.run(20)
+        told = next(node for node in fleet.running if not node.state.is_direct(fleet.now))
+        self.assertTrue(told.state.is_current(fleet.now))
+        reduce(told.state, Paused(4), fleet.now)
+        self.assertFalse(told.state.is_current(fleet.now))
+        fleet.run(1)
+        self.assertTrue(told.state.is_current(fleet.now))
+
+    def test_pauses_are_told_from_waits(self) -> None:
+        """Suspended hosts and stopped processes are noticed, planned waits are not."""
+        clocks = {'steady': 10, 'counting': 110}
+        detector = PauseDetector(lambda: clocks['steady'], lambda: clocks['counting'])
+        detector.plan(5)
+        clocks.update(steady=15, counting=115)
+        self.assertEqual(0, detector.paused_s())
+        detector.plan(0.1)
+        clocks.update(counting=119)
+        self.assertEqual(4, detector.paused_s())
+        detector.plan(0.1)
+        clocks.update(steady=19, counting=123)
+        self.assertAlmostEqual(3.9, detector.paused_s())
+
+
 class StoppingTest(TestCase):
     """Leave the rotation first, forward on, end in time."""
 
