--- a/tests/run.py
+++ b/tests/run.py
@@ -6,6 +6,7 @@
 """
 
 import sys
+from enum import StrEnum
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,31 @@
     return {line.partition(',')[0].strip(): line for line in lines}
 
 
+class Verdict(StrEnum):
+    """Name how an outcome counts."""
+
+    PASSED = 'passed'
+    FAILED = 'failed'
+    PASSED_OVER = 'passed over'
+
+
+def verdict_on(event: Any, *, known_red: bool) -> Verdict:
+    """Return how an outcome counts.
+
+    A part of a test is told beside the test: one that holds counts with its
+    test, one that fails counts as a failure, since its test is not told then.
+    """
+    if event.outcome == 'subtest':
+        good = event.exc_info is None
+        if good:
+            return Verdict.PASSED_OVER
+    else:
+        good = event.outcome == 'passed' and event.expected
+    if known_red:
+        return Verdict.FAILED if good else Verdict.PASSED_OVER
+    return Verdict.PASSED if good else Verdict.FAILED
+
+
 class CountOutcomes(Plugin):
     """Count the outcomes of all tests; an unexpected success is a failure."""
 
@@ -33,16 +59,14 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Count one test's outcome."""
-        passed = event.outcome == 'passed' and event.expected
-        known = self.red_by_test.get(event.test.id())
-        if known is not None and not passed:
-            sys.stdout.write(f'known red: {known}\n')
-            return
+        test = getattr(event.test, 'test_case', event.test)
+        known = self.red_by_test.get(test.id())
+        verdict = verdict_on(event, known_red=known is not None)
         if known is not None:
-            sys.stdout.write(f'known red, but passed: {known}\n')
-        if passed and known is None:
+            sys.stdout.write(f'known red, {verdict}: {known}\n')
+        if verdict is Verdict.PASSED:
             CountOutcomes.passed += 1
-        else:
+        elif verdict is Verdict.FAILED:
             CountOutcomes.failed += 1
 
 
--- /dev/null
+++ b/tests/test_run.py
@@ -0,0 +1,45 @@
+"""Test how outcomes of tests are counted."""
+
+from types import SimpleNamespace
+from unittest import TestCase
+
+from tests.run import Verdict, known_red, verdict_on
+
+
+class CountTest(TestCase):
+    """Count tests, their parts, and those that are known to be red."""
+
+    def test_tests(self) -> None:
+        """Whatever is not passed as expected is a failure."""
+        for outcome, expected, verdict in (
+            ('passed', True, Verdict.PASSED),
+            ('passed', False, Verdict.FAILED),
+            ('failed', False, Verdict.FAILED),
+            ('error', False, Verdict.FAILED),
+            ('skipped', False, Verdict.FAILED),
+        ):
+            event = SimpleNamespace(outcome=outcome, expected=expected)
+            self.assertEqual(verdict, verdict_on(event, known_red=False))
+
+    def test_parts(self) -> None:
+        """Symptom: a run without a failure ends as failed.
+
+        Sequence: a test tells of its parts; each part that holds is told too.
+        Cause: counting whatever is not the word "passed" as a failure.
+        """
+        good = SimpleNamespace(outcome='subtest', exc_info=None)
+        bad = SimpleNamespace(outcome='subtest', exc_info=(AssertionError, AssertionError(), None))
+        self.assertEqual(Verdict.PASSED_OVER, verdict_on(good, known_red=False))
+        self.assertEqual(Verdict.FAILED, verdict_on(bad, known_red=False))
+
+    def test_known_red(self) -> None:
+        """A known failure is passed over; one that passes has to leave the list."""
+        failed = SimpleNamespace(outcome='failed', expected=False)
+        passed = SimpleNamespace(outcome='passed', expected=True)
+        self.assertEqual(Verdict.PASSED_OVER, verdict_on(failed, known_red=True))
+        self.assertEqual(Verdict.FAILED, verdict_on(passed, known_red=True))
+
+    def test_lines_name_their_test(self) -> None:
+        """The first word of a line, up to the comma, is the test's id."""
+        lines = known_red('tests.a.B.test_c, slow link, issue 9\n\n')
+        self.assertEqual({'tests.a.B.test_c': 'tests.a.B.test_c, slow link, issue 9'}, lines)
