Account for changes that a teller has forgotten; keep the text when it is removed

Cause: found by reading. A host's newest revision came from the entries that it holds. A minute after an upstream had left, its teller had forgotten it, and a host that started then fetched the same view at each heartbeat for ever, and never counted as current. A removed text raised the upstreams' revision the same way.

Change: a view says up to which revision it accounts for; a removed text is logged and stays in force.

Figures: the two tests fail without the change; fetches of a restarted host in ten seconds: 3 or fewer.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -49,6 +49,10 @@
         """Return the upstreams of a service, gone ones too."""
         return [self.by_name[name] for name in self.names_by_service.get(service, ())]
 
+    def account_for(self, revision: int) -> None:
+        """Note that every change up to `revision` is known."""
+        self.newest_revision = max(self.newest_revision, revision)
+
     def note_regained(self, now: float) -> None:
         """Give entries that lapsed during an outage the time to come back."""
         self.unsettled_until = now + RETURN_GRACE_S
@@ -56,7 +60,7 @@
     def take(self, entry: UpstreamEntry, now: float) -> bool:
         """Take a listed entry; return whether it is new or says something new."""
         known = self.by_name.get(entry.name)
-        self.newest_revision = max(self.newest_revision, entry.revision)
+        self.account_for(entry.revision)
         if known is None:
             self._add(entry, now)
             return True
@@ -78,7 +82,7 @@
         One that was draining has left.  One that vanished while the store was
         settled is gone at once; after an outage it may come back.
         """
-        self.newest_revision = max(self.newest_revision, revision)
+        self.account_for(revision)
         known = self.by_name.get(name)
         if known is None or revision < known.entry.revision:
             return None
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -81,10 +81,18 @@
 
     `text_followed` and `upstreams_followed` are the store's revisions up to
     which the teller has read; from there a watch can go on.  `text` is None if
-    the peer has it.
+    the peer has it.  `newest_revision` is of the newest change of upstreams that
+    the view accounts for; the teller may have forgotten what changed.
     """
 
-    __slots__ = ('entries', 'missing', 'text', 'text_followed', 'upstreams_followed')
+    __slots__ = (
+        'entries',
+        'missing',
+        'newest_revision',
+        'text',
+        'text_followed',
+        'upstreams_followed',
+    )
 
     def __init__(
         self,
@@ -93,6 +101,7 @@
         entries: list[UpstreamEntry],
         missing: list[MissingEntry],
         upstreams_followed: int,
+        newest_revision: int = 0,
     ) -> None:
         """Keep the parts of the view."""
         self.text = text
@@ -100,3 +109,4 @@
         self.entries = entries
         self.missing = missing
         self.upstreams_followed = upstreams_followed
+        self.newest_revision = newest_revision
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -69,7 +69,7 @@
     follower = state.follower_by_collection[Collection(event.collection)]
     effects = _note_regained(state, follower, now)
     for stored in event.objects:
-        effects.extend(_take(state, stored, now))
+        effects.extend(_take(state, follower, stored, now))
     names = [listed.name for listed in event.objects]
     if event.more and names:
         effects.append(follower.next_page(names, event.revision))
@@ -87,7 +87,7 @@
     effects = _note_regained(state, follower, now)
     known = (state.text_revision, state.directory.newest_revision)
     for stored in event.objects:
-        effects.extend(_take(state, stored, now))
+        effects.extend(_take(state, follower, stored, now))
     follower.revision = max(follower.revision, event.revision)
     effects.extend(become_ready(state))
     effects.extend(_go_on(state, follower, now))
@@ -151,13 +151,20 @@
     ]
 
 
-def _take(state: RoutingState, stored: StoredObject, now: float) -> list[Effect]:
+def _take(
+    state: RoutingState,
+    follower: Follower,
+    stored: StoredObject,
+    now: float,
+) -> list[Effect]:
     if isinstance(stored.content, RoutingText):
         return take_text(state, stored.content)
     if isinstance(stored.content, UpstreamEntry):
         return take_entry(state, stored.content, now)
     if isinstance(stored.content, Unreadable):
         return [_bad_object(stored.name, stored.revision, stored.content.problem)]
+    if follower.collection is Collection.TEXT:
+        return [_bad_object(stored.name, stored.revision, 'removed; the last text stays in force')]
     return take_removal(state, stored.name, stored.revision, now)
 
 
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -81,6 +81,7 @@
         effects.extend(take_entry(state, entry, now))
     for missing in view.missing:
         effects.extend(_take_missing(state, missing, now))
+    state.directory.account_for(view.newest_revision)
     followers = state.follower_by_collection
     if state.text is not None:
         followers[Collection.TEXT].adopt(view.text_followed)
@@ -129,6 +130,7 @@
         entries,
         missing,
         upstreams.revision if upstreams.listed else 0,
+        state.directory.newest_revision,
     )
 
 
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -67,6 +67,7 @@
                 for missing in view.missing
             ],
             'upstreams_followed': view.upstreams_followed,
+            'newest': view.newest_revision,
         },
     )
 
@@ -82,6 +83,7 @@
             [_entry_in(entry) for entry in fields['entries']],
             [_missing_in(missing) for missing in fields['missing']],
             int(fields['upstreams_followed']),
+            int(fields['newest']),
         )
     except _FORMAT_FAULTS as fault:
         raise MessageError(f'view unreadable: {fault!r}') from fault
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -65,6 +65,7 @@
     ended: bool = False
     calls: int = 0
     heartbeats: int = 0
+    fetches: int = 0
     lines: Counter[int] = field(default_factory=Counter)
     revisions: list[int] = field(default_factory=list)
 
@@ -234,6 +235,7 @@
         self.at(_PEER_S, lambda: self._take(peer, boot, HeartbeatHeard(heartbeat)))
 
     def _fetch(self, node: RoutingNode, effect: FetchView) -> None:
+        node.fetches += 1
         boot = node.boot
         peer = self._node_by_address.get(effect.address)
         if peer is None or not peer.up or not self._reaches(node, peer):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,7 +4,7 @@
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.directory import REMEMBERED_S, RETURN_GRACE_S, Directory
-from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
+from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges, WriteLine
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
@@ -365,6 +365,24 @@
         self.assertAlmostEqual(3.9, detector.paused_s())
 
 
+class RemovedTextTest(TestCase):
+    """A text that vanishes from the store."""
+
+    def test_the_last_text_stays_in_force(self) -> None:
+        """Symptom: all callers are refused after a slip of an operator's hand.
+
+        Sequence: the text's object is removed from the store.
+        Cause: taking a removal for an empty text, or for an upstream's.
+        """
+        state = ready_state(entry(1))
+        removed = ChangesRead(Collection.TEXT, [StoredObject('main', 90, None)], 90)
+        effects = reduce(state, removed, 1)
+        self.assertEqual(1, state.text_revision)
+        self.assertEqual(1, state.directory.newest_revision)
+        lines = [effect.number for effect in effects if isinstance(effect, WriteLine)]
+        self.assertEqual([LogNumber.OBJECT_BAD], lines)
+
+
 class StoppingTest(TestCase):
     """Leave the rotation first, forward on, end in time."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from bronzekeel.core.routing.directory import REMEMBERED_S
 from bronzekeel.core.routing.events import ViewFetched
 from bronzekeel.core.routing.follower import WATCH_S, Collection
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
@@ -223,6 +224,28 @@
         self.assertTrue(state.directory.by_name[entry(1).name].entry.draining)
         self.assertFalse(state.directory.by_name[entry(2).name].listed)
 
+    def test_a_view_is_not_fetched_again_and_again(self) -> None:
+        """Symptom: a host asks its peers for their view four times a second, for ever.
+
+        Sequence: an upstream leaves; a minute later nobody remembers it; a host
+        restarts, and gets a view whose newest change is older than its teller's.
+        Cause: reckoning what is known from the entries of the view alone.
+        """
+        fleet = fleet_of(3, ('dc-a',))
+        put_upstream(fleet, 2)
+        fleet.run(1)
+        fleet.store.remove(Collection.UPSTREAMS, entry(2).name)
+        fleet.tell_watches()
+        fleet.run(REMEMBERED_S + 10)
+        fleet.lose_store(['dc-a-3'], 'refuses')
+        fleet.kill('dc-a-3')
+        fleet.run(1)
+        fleet.restart('dc-a-3')
+        fleet.run(10)
+        restarted = fleet.node_by_name['dc-a-3']
+        self.assertTrue(restarted.state.is_current(fleet.now))
+        self.assertLessEqual(restarted.fetches, 3)
+
     def test_only_what_is_new_is_told(self) -> None:
         """A view holds what changed after the asker's revisions."""
         state = ready_state(entry(1), entry(2), entry(3))
