Bring comments and pages up to what the code does

Cause: reading the whole change as a newcomer. The placement's text still said that other data centres are a last resort, and two sources were reckoned with figures that have changed.

--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -26,8 +26,8 @@
 HEARTBEAT_S = 0.25
 
 #: Seconds of heartbeats that one peer more adds to the interval, so that a
-#: host sends at most 25 a second.  Source: at 200 bytes each this is 5 KB/s of
-#: the 6 KB/s that docs/CAPACITY.md allows.
+#: host sends at most 25 a second.  Source: at 283 bytes each, with eight peers
+#: and no load, this is 7 KB/s; docs/CAPACITY.md allows 6 and says what follows.
 _SPACING_S = 0.04
 
 #: Intervals of silence after which a peer is not relied on.
@@ -52,7 +52,7 @@
 #: Peers that a heartbeat names at most; the rest has its turn later.
 _MOST_OTHERS = 6
 
-#: Peers of the own data centre that are told at most.  Source: the interval
+#: Peers of the own data centre that get heartbeats at most.  Source: the interval
 #: grows with each; with 48 it is two seconds, which a change can still bear.
 MOST_PEERS = 48
 
@@ -95,8 +95,8 @@
     def neighbours(self) -> list[Peer]:
         """Return the peers of the own data centre, at most ``MOST_PEERS``.
 
-        With more, each tells those that follow it in the order of their names'
-        hashes, so that everybody is told by as many.
+        With more, each takes those that follow it in the order of their names'
+        hashes, so that everybody hears from as many.
         """
         near = [peer for peer in self.by_name.values() if self._is_near(peer)]
         if len(near) <= MOST_PEERS:
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -15,9 +15,10 @@
 #: Source: a feed asks about twice in five seconds for 40 ms of work.
 IDLE_FLOW_LOAD = 0.02
 
-
 #: Load that an upstream of another data centre is taken to have beside what is
 #: seen of it: flows that its own data centre sends there, and the distance.
+#: Source: of 1, 2 and 3 the one with the fewest bytes between data centres
+#: among those that served best (docs/DESIGN.md, "Placement").
 FAR_LOAD = 2.0
 
 
@@ -30,12 +31,13 @@
 
 
 class LeastBusy(Placement):
-    """Choose the least busy upstream of the own data centre, by own sight.
+    """Choose the least busy upstream, and one of the own data centre if it can be.
 
-    Load pattern: requests come in bursts and long feeds gather on upstreams
-    that started early.  Counting what this balancer has in progress at each
-    keeps both apart from busy upstreams without a word between balancers.
-    Another data centre is used only when the own has nobody that answers.
+    Load pattern: requests come in bursts, long feeds gather on upstreams that
+    started early, and a data centre loses upstreams while others idle.  What
+    this balancer and its peers have in progress at each upstream keeps new
+    flows from busy ones; another data centre gets them when they would wait for
+    more than ``FAR_LOAD`` requests a slot at home.
     """
 
     def __init__(self, data_centre: str) -> None:
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -19,7 +19,7 @@
 
 
 #: Seconds after which a view that was asked for is asked for again.
-#: Source: twenty times what a peer of the data centre needs under load.
+#: Source: ten times what a text of 2,000 routes takes on a link of 5 Mbit/s.
 FETCH_S = 0.5
 
 #: Seconds after which a balancer that could not get from its peers what they
@@ -53,9 +53,8 @@
 
     A peer that is new or knows nothing is answered at once: it may be in
     another data centre, which gets heartbeats seldom, and serves nothing until
-    then.
-    One that knows nothing itself answers only a new peer, else two that know
-    nothing would answer each other without end.
+    then.  One that knows nothing itself answers only a new peer, else two of
+    them would answer each other without end.
     """
     heartbeat = event.heartbeat
     effects: list[Effect] = []
