Let enough hosts watch that one hears when a third is deaf

The store fell silent towards a third of all hosts for nine seconds. In two data centres both hosts that watched for the others were among them; their watches noticed only at their end, ten seconds later, and until then claimed that nothing had changed.

Change: everybody watches in a data centre of up to four hosts, and one in three of a larger one.

Ruled out: a shorter watch (one second, to stay within the bound of 3 s on the small sites, at eight times the calls of each watcher); stale reads as a check (they may be 3 s old themselves).

--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -5,10 +5,10 @@
 silent: a host that restarts in a data centre that is cut off from the store
 hears from its neighbours before it could find them.
 
-Two balancers of a data centre watch the store; the others learn from them.
-Without that each change would cost the store a call a host and collection.  One
-that hears no watcher watches for itself, so a wrong choice costs calls and
-never a change.
+A third of the balancers of a large data centre watch the store; the others learn
+from them.  Without that each change would cost the store a call a host and
+collection.  One that hears no watcher watches for itself, so a wrong choice costs
+calls and never a change.
 """
 
 from zlib import crc32
@@ -16,9 +16,16 @@
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 
 
-#: Balancers of a data centre that watch the store.  Source: one may be deaf
-#: for a whole watch without knowing it; both at once is rare.
-WATCHERS = 2
+#: Balancers of a data centre that watch the store at least.  Source: the small
+#: sites have three or four, and the store may be silent towards a third of all
+#: hosts for a whole watch without their knowing it: all but those must hear of a
+#: change, so with so few everyone watches.
+LEAST_WATCHERS = 4
+
+#: Of a larger data centre one host in so many watches.  Source: at the size of the
+#: grown sites this is six to nine, so that one that hears is left in all but one
+#: in five hundred of such faults, at a third of the calls of everyone watching.
+HOSTS_A_WATCHER = 3
 
 #: Least interval in seconds between two heartbeats to the same peer.  Source:
 #: loads change within a request's mean work of some fifty milliseconds; five
@@ -185,6 +192,11 @@
         start = self._turn % len(named)
         return tuple((named[start:] + named[:start])[:_MOST_OTHERS])
 
+    def watchers(self, now: float) -> int:
+        """Return how many balancers of the data centre have to watch the store."""
+        hosts = len(self.living(now)) + 1
+        return max(LEAST_WATCHERS, -(-hosts // HOSTS_A_WATCHER))
+
     def is_watcher(self, now: float, *, direct: bool, lost: bool) -> bool:
         """Whether this balancer has to watch the store.
 
@@ -207,11 +219,12 @@
                 working_before += before
             elif not heartbeat.lost:
                 trying_before += before
+        needed = self.watchers(now)
         if direct:
-            return working_before < WATCHERS
+            return working_before < needed
         if lost:
-            return working < WATCHERS
-        return working + trying_before < WATCHERS
+            return working < needed
+        return working + trying_before < needed
 
     def has_current_watcher(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
         """Whether a living watcher knows nothing newer than these revisions."""
