Spell stand-ins' settings and look-ups once

Demo, benchmark and tests each spelled the same ten settings of a balancer on loopback; four calls of the store's stand-in began with the same refusal and look-up; a replayed fleet made its table of handlers anew for each effect.

--- a/src/bronzekeel/bench/start.py
+++ b/src/bronzekeel/bench/start.py
@@ -18,6 +18,7 @@
 
 from bronzekeel.bench.base import Benchmark
 from bronzekeel.standins.echo_packets import SYN, EchoSegment, build_echo
+from bronzekeel.standins.entry_settings import loopback_settings
 from bronzekeel.standins.platform import PlatformStandIn
 
 
@@ -121,7 +122,8 @@
     site.fill_store()
     settings = folder / 'settings.json'
     packets = _free_port()
-    settings.write_text(encode_json(_settings(site.store.port, packets)))
+    fields = loopback_settings('edge-1', site.store.port, packets=f'{_LOOPBACK}:{packets}')
+    settings.write_text(encode_json(fields))
     balancers = []
     bare = []
     for _ in range(rounds):
@@ -179,21 +181,6 @@
     )
 
 
-def _settings(store: int, packets: int) -> dict[str, object]:
-    return {
-        'name': 'edge-1',
-        'data_centre': 'dc-a',
-        'steering': 'connection_ids',
-        'packets': f'{_LOOPBACK}:{packets}',
-        'peers': f'{_LOOPBACK}:0',
-        'seeds': [],
-        'readiness': f'{_LOOPBACK}:0',
-        'readiness_path': '/ready',
-        'store': f'{_LOOPBACK}:{store}',
-        'stop_within_s': 1,
-    }
-
-
 def _free_port() -> int:
     with socket(AF_INET, SOCK_DGRAM) as probe:
         probe.bind((_LOOPBACK, 0))
--- a/src/bronzekeel/demo/connection_ids.py
+++ b/src/bronzekeel/demo/connection_ids.py
@@ -13,10 +13,11 @@
 
 from bronzekeel.core.routing.events import StopAsked
 from bronzekeel.entry.daemon import EntryBalancer
-from bronzekeel.entry.settings import STEERING, EntrySettings
+from bronzekeel.entry.settings import EntrySettings
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
 from bronzekeel.standins.echo_flows import EchoCallers, EchoUpstream
+from bronzekeel.standins.entry_settings import loopback_settings
 from bronzekeel.standins.platform import PlatformStandIn
 
 
@@ -105,20 +106,7 @@
     async def start(self, name: str) -> bool:
         """Start a balancer; return whether it was ready in time."""
         seeds = [f'{_LOOPBACK}:{other.balancer.peers.port}' for other in self.running.values()]
-        settings = EntrySettings(
-            {
-                'name': name,
-                'data_centre': _CENTRE,
-                'steering': STEERING,
-                'packets': f'{_LOOPBACK}:0',
-                'peers': f'{_LOOPBACK}:0',
-                'seeds': seeds,
-                'readiness': f'{_LOOPBACK}:0',
-                'readiness_path': '/ready',
-                'store': f'{_LOOPBACK}:{self.store.port}',
-                'stop_within_s': 1,
-            },
-        )
+        settings = EntrySettings(loopback_settings(name, self.store.port, seeds=seeds))
         packet_format = PlatformPackets(self.caller_port)
         balancer = EntryBalancer(settings, packet_format, PlatformStore(), self._sink)
         balancer.start()
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -88,6 +88,14 @@
         self.node_by_name: dict[str, RoutingNode] = {}
         self.cut_centres: set[str] = set()
         self.views_pass = True
+        self._handlers: dict[type[Effect], Callable[..., None]] = {
+            WriteLine: self._count_line,
+            ReadPage: self._read_page,
+            WatchChanges: self._watch,
+            SendHeartbeat: self._beat,
+            FetchView: self._fetch,
+            End: self._note_end,
+        }
         self._node_by_address: dict[tuple[str, int], RoutingNode] = {}
         self._watches: list[_Watch] = []
         peers = [
@@ -163,20 +171,9 @@
         if not node.up or node.boot != boot:
             return
         for effect in reduce(node.state, event, self.now):
-            self._handler(effect)(node, effect)
+            self._handlers[type(effect)](node, effect)
         node.revisions.append(node.state.text_revision)
 
-    def _handler(self, effect: Effect) -> Callable[..., None]:
-        handlers: dict[type[Effect], Callable[..., None]] = {
-            WriteLine: self._count_line,
-            ReadPage: self._read_page,
-            WatchChanges: self._watch,
-            SendHeartbeat: self._beat,
-            FetchView: self._fetch,
-            End: self._note_end,
-        }
-        return handlers[type(effect)]
-
     def _count_line(self, node: RoutingNode, effect: WriteLine) -> None:
         node.lines[effect.number] += 1
 
--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -198,13 +198,18 @@
             self.calls_left -= 1
         return None
 
-    async def _get(self, request: web.Request) -> web.Response:
+    async def _find(self, request: web.Request) -> _Held | web.Response:
+        """Return the object that a call is about, or the refusal of the call."""
         refusal = await self._refuse()
         if refusal is not None:
             return refusal
-        held = self.by_place.get(_place(request))
-        if held is None:
-            return web.Response(status=_NOT_FOUND)
+        place = (request.match_info['kind'], request.match_info['name'])
+        return self.by_place.get(place) or web.Response(status=_NOT_FOUND)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        held = await self._find(request)
+        if isinstance(held, web.Response):
+            return held
         return web.json_response(held.answer())
 
     async def _list(self, request: web.Request) -> web.Response:
@@ -261,13 +266,10 @@
         return await self._confirm(request, self.by_place[place])
 
     async def _replace(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse()
-        if refusal is not None:
-            return refusal
+        held = await self._find(request)
+        if isinstance(held, web.Response):
+            return held
         content = await request.json()
-        held = self.by_place.get(_place(request))
-        if held is None:
-            return web.Response(status=_NOT_FOUND)
         wanted = content['meta'].get('revision')
         if wanted and wanted != held.revision:
             return web.json_response(held.answer(), status=_CONFLICT)
@@ -279,23 +281,17 @@
         return await self._confirm(request, held)
 
     async def _replace_status(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse()
-        if refusal is not None:
-            return refusal
-        held = self.by_place.get(_place(request))
-        if held is None:
-            return web.Response(status=_NOT_FOUND)
+        held = await self._find(request)
+        if isinstance(held, web.Response):
+            return held
         held.status = (await request.json())['status']
         self._note(held)
         return await self._confirm(request, held)
 
     async def _delete(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse()
-        if refusal is not None:
-            return refusal
-        held = self.by_place.get(_place(request))
-        if held is None:
-            return web.Response(status=_NOT_FOUND)
+        held = await self._find(request)
+        if isinstance(held, web.Response):
+            return held
         if held.finalizers:
             held.deleting = True
             self._note(held)
@@ -310,7 +306,3 @@
             if request.transport is not None:
                 request.transport.abort()
         return web.json_response(held.answer())
-
-
-def _place(request: web.Request) -> tuple[str, str]:
-    return request.match_info['kind'], request.match_info['name']
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -25,6 +25,7 @@
 from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
+from bronzekeel.standins.entry_settings import loopback_settings
 from bronzekeel.standins.platform import PlatformStandIn
 
 
@@ -35,21 +36,9 @@
 
 def settings_for(store_port: int, **changed: Any) -> dict[str, Any]:
     """Return the settings of a balancer on loopback."""
-    fields: dict[str, Any] = {
-        'name': 'edge-1',
-        'data_centre': 'dc-a',
-        'steering': 'connection_ids',
-        'packets': f'{_LOOPBACK}:0',
-        'peers': f'{_LOOPBACK}:0',
-        'seeds': [],
-        'readiness': f'{_LOOPBACK}:0',
-        'readiness_path': '/ready',
-        'store': f'{_LOOPBACK}:{store_port}',
-        'stop_within_s': 2,
-        'a_field_of_a_later_version': True,
-    }
-    fields.update(changed)
-    return fields
+    fields = {'stop_within_s': 2, 'a_field_of_a_later_version': True, **changed}
+    name = fields.pop('name', 'edge-1')
+    return loopback_settings(name, store_port, **fields)
 
 
 def opening_from(caller: socket) -> bytes:
