Let packets wait while a balancer starts; drop those that waited through a long pause

Cause: after all hosts lost power the fabric sends to hosts that are still starting. Their packets met no socket while modules were imported, and were dropped until text and upstreams were known; callers repeat them after 0.2, 0.4, 0.8 s.

Change: the packets' port is bound before anything else is imported, in one place; packets that come before a balancer is ready are held for 0.4 s and decided on when it is; after a pause of 1.4 s and more what waited is dropped and counted. The settings file is read once at a start (it was read twice); the two calls that differed in target and wait are one.

Ruled out: a longer hold (an older packet has been repeated since); dropping after every pause (a slow host stalls for less than callers keep trying).

--- a/src/bronzekeel/bench/connection_id_path.py
+++ b/src/bronzekeel/bench/connection_id_path.py
@@ -11,6 +11,7 @@
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.entry.loop import Loop
+from bronzekeel.entry.packet_port import bound_packet_port
 from bronzekeel.entry.packets import PacketSocket
 from bronzekeel.platform.packets import PlatformPackets
 from bronzekeel.standins.echo_packets import EchoSegment, build_echo
@@ -46,11 +47,12 @@
             revision=1,
         )
         state.directory.take(entry, 0)
+        state.ready = True
         steering = ConnectionIdSteering(state, LeastBusy('dc-a'), NoDecisionLog())
         self._loop = Loop()
         self._socket = PacketSocket(
             self._loop,
-            (_LOOPBACK, 0),
+            bound_packet_port((_LOOPBACK, 0)),
             PlatformPackets(0),
             steering,
             _refuse_fault,
--- a/src/bronzekeel/core/routing/effects.py
+++ b/src/bronzekeel/core/routing/effects.py
@@ -71,6 +71,12 @@
         self.fields = fields
 
 
+class DropWaiting(Effect):
+    """Drop the callers' packets that wait to be read."""
+
+    __slots__ = ()
+
+
 class End(Effect):
     """End the process: nothing of this balancer is needed any more."""
 
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -8,7 +8,7 @@
 from types import MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.effects import Effect, End, WriteLine
+from bronzekeel.core.routing.effects import DropWaiting, Effect, End, WriteLine
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
@@ -50,6 +50,10 @@
 #: Interval in seconds at which upstreams that are long gone are forgotten.
 _FORGET_EVERY_S = 5.0
 
+#: Seconds of a pause after which the packets that waited are dropped.  Source:
+#: callers give an opening packet up after 1.4 s, and repeat all others sooner.
+STALE_PAUSE_S = 1.4
+
 #: Seconds that a silent flow is remembered while no text is known.
 _IDLE_S = 15.0
 
@@ -204,11 +208,19 @@
 
 
 def _on_pause(state: RoutingState, event: Paused, now: float) -> list[Effect]:
-    """Rely on nothing that was valid before a pause until it is proved again."""
+    """Rely on nothing that was valid before a pause until it is proved again.
+
+    Packets that waited through a long pause are dropped: an opening packet
+    among them would open a flow that its caller has given up, and hold a place
+    at an upstream.
+    """
     for follower in state.follower_by_collection.values():
         follower.current_until = 0
     state.peers.doubt_all()
-    return [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
+    effects: list[Effect] = [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
+    if event.paused_s >= STALE_PAUSE_S:
+        effects.append(DropWaiting())
+    return effects
 
 
 def _on_settings(state: RoutingState, event: SettingsChanged, now: float) -> list[Effect]:
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -4,11 +4,13 @@
 from gc import enable, freeze
 from os import stat
 from signal import SIGHUP, SIGINT, SIGTERM, signal
+from socket import socket
 from time import monotonic, process_time
 from types import FrameType
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import (
+    DropWaiting,
     Effect,
     End,
     FetchView,
@@ -41,6 +43,7 @@
 from bronzekeel.entry.lines import LineLog
 from bronzekeel.entry.loop import Loop
 from bronzekeel.entry.metrics import metrics_of
+from bronzekeel.entry.packet_port import bound_packet_port
 from bronzekeel.entry.packets import PacketSocket
 from bronzekeel.entry.peers import PeerSockets
 from bronzekeel.entry.ports import PacketFormat, StoreCalls
@@ -63,8 +66,12 @@
         packet_format: PacketFormat,
         store_calls: StoreCalls,
         stream: int = _STDOUT,
+        packet_port: socket | None = None,
     ) -> None:
-        """Bind all sockets; nothing is asked of the store before ``start``."""
+        """Bind all sockets; nothing is asked of the store before ``start``.
+
+        A `packet_port` that was bound before is used.
+        """
         self.loop = Loop()
         me = PeerAddress(settings.name, settings.data_centre, settings.peers)
         self.state = RoutingState(PeerTable(me, settings.seeds), settings.stop_within_s)
@@ -78,7 +85,7 @@
         )
         self.packets = PacketSocket(
             self.loop,
-            settings.packets,
+            packet_port or bound_packet_port(settings.packets),
             packet_format,
             steering,
             self._note_bad_packet,
@@ -105,6 +112,7 @@
             WatchChanges: self._watch,
             SendHeartbeat: lambda effect, now: self.peers.send(effect),
             FetchView: lambda effect, now: self.peers.fetch(effect),
+            DropWaiting: lambda effect, now: self.packets.drop_waiting(),
             End: lambda effect, now: self.loop.stop(),
         }
 
@@ -141,6 +149,7 @@
             return
         for effect in effects:
             self._handlers[type(effect)](effect, now)
+        self.packets.release_held()
 
     def close(self) -> None:
         """Free all sockets."""
@@ -156,25 +165,27 @@
         self._lines.write(effect.number, effect.fields, now)
 
     def _read_page(self, effect: ReadPage, now: float) -> None:
-        collection = effect.collection
-        self._connection_by_collection[collection].get(
-            Call(
-                self._calls.page_target(collection, effect.after),
-                now + ANSWER_S,
-                lambda status, body: self.take(self._calls.read_page(collection, status, body)),
-                lambda problem: self.take(CallFailed(collection, problem)),
-            ),
-        )
+        target = self._calls.page_target(effect.collection, effect.after)
+        self._call_store(effect.collection, target, now + ANSWER_S, self._calls.read_page)
 
     def _watch(self, effect: WatchChanges, now: float) -> None:
-        collection = effect.collection
+        target = self._calls.watch_target(effect.collection, effect.revision, effect.wait_s)
+        until = now + effect.wait_s + ANSWER_S
+        self._call_store(effect.collection, target, until, self._calls.read_changes)
+
+    def _call_store(
+        self,
+        collection: str,
+        target: str,
+        until: float,
+        read: Callable[[str, int, bytes], Event],
+    ) -> None:
+        """Make a call whose answer is taken as the event that `read` makes of it."""
         self._connection_by_collection[collection].get(
             Call(
-                self._calls.watch_target(collection, effect.revision, effect.wait_s),
-                now + effect.wait_s + ANSWER_S,
-                lambda status, body: self.take(
-                    self._calls.read_changes(collection, status, body),
-                ),
+                target,
+                until,
+                lambda status, body: self.take(read(collection, status, body)),
                 lambda problem: self.take(CallFailed(collection, problem)),
             ),
         )
@@ -268,14 +279,19 @@
     return found.st_mtime_ns, found.st_size
 
 
-def serve(path: str, packet_format: PacketFormat, store_calls: StoreCalls) -> None:
-    """Run one balancer until it is told to stop.
+def serve(
+    path: str,
+    settings: EntrySettings,
+    packet_port: socket,
+    packet_format: PacketFormat,
+    store_calls: StoreCalls,
+) -> None:
+    """Run one balancer with the settings read from `path` until it is told to stop.
 
     What exists after the start stays: it is left out of garbage collections.
-    Raises SettingsError, and OSError when a port is taken.
+    Raises OSError when a port is taken.
     """
-    settings = read_entry_settings(path)
-    balancer = EntryBalancer(settings, packet_format, store_calls)
+    balancer = EntryBalancer(settings, packet_format, store_calls, packet_port=packet_port)
     signals = _Signals(balancer, path)
     balancer.start()
     signals.look()
--- a/src/bronzekeel/entry/packets.py
+++ b/src/bronzekeel/entry/packets.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from selectors import EVENT_READ
-from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from socket import socket
 from time import monotonic
 
 from bronzekeel.core.routing.flows import MOST_FLOWS, Flow
+from bronzekeel.core.routing.holding import HeldPackets
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Deliver, Reset
 from bronzekeel.entry.loop import Loop
@@ -16,10 +17,7 @@
 _BATCH = 64
 _MOST_DATAGRAM = 2048
 _DELIVERED = 'delivered'
-
-#: Bytes that the kernel may hold for us.  Source: two tenths of a second of a
-#: busy host's packets, the time that a start of Python may take on a slow one.
-_RECEIVE_BUFFER = 1024 * 1024
+_STALE = 'stale'
 
 #: Flows whose path is kept at most; with more all are looked up anew.
 #: Source: as many as are remembered (``MOST_FLOWS``).
@@ -45,18 +43,21 @@
     Most packets are ordinary ones of flows that were seen before.  Their path is
     kept until the state's epoch changes: a packet takes 4.1 us of processor
     time by it and 9.2 us by a decision (`bench forward`, median of 300 rounds).
-    `count_by_fate` tells what became of all packets.
+    `count_by_fate` tells what became of all packets.  Those that come before
+    the state is ready are held until ``release_held``.
     """
 
     def __init__(
         self,
         loop: Loop,
-        address: tuple[str, int],
+        bound: socket,
         packet_format: PacketFormat,
         steering: ConnectionIdSteering,
         note_fault: _Fault,
+        clock: Callable[[], float] = monotonic,
     ) -> None:
-        """Bind the socket and start to take packets; `steering` decides."""
+        """Start to take packets of a `bound` socket; `steering` decides."""
+        self._clock = clock
         self._count_by_fate: dict[str, int] = {}
         self._kept = 0
         self.last_packet_at: float = 0
@@ -71,10 +72,8 @@
         self._step = self._state.flows.step
         self._note_fault = note_fault
         self._loop = loop
-        self._socket = socket(AF_INET, SOCK_DGRAM)
-        self._socket.setsockopt(SOL_SOCKET, SO_RCVBUF, _RECEIVE_BUFFER)
-        self._socket.setblocking(False)
-        self._socket.bind(address)
+        self._held = HeldPackets()
+        self._socket = bound
         loop.watch(self._socket, EVENT_READ, self.take_batch)
 
     @property
@@ -96,7 +95,7 @@
 
     def take_batch(self, mask: int = EVENT_READ) -> None:
         """Take the packets that wait, up to a batch."""
-        now = monotonic()
+        now = self._clock()
         self.last_packet_at = now
         if self._state.epoch != self._epoch or len(self._path_by_key) > _MOST_PATHS:
             self._epoch = self._state.epoch
@@ -112,6 +111,27 @@
             if not self._forward_ordinary(raw, now):
                 self._take(raw, now)
 
+    def release_held(self) -> None:
+        """Decide on the packets that came before the state was ready."""
+        if not self._held or not self._state.ready:
+            return
+        now = self._clock()
+        for raw in self._held.release(now):
+            self._take(raw, now)
+
+    def drop_waiting(self) -> None:
+        """Drop and count the packets that wait in the kernel and here."""
+        self._count(_STALE, self._held.drop())
+        while self._reads_one():
+            self._count(_STALE)
+
+    def _reads_one(self) -> bool:
+        try:
+            self._socket.recv(_MOST_DATAGRAM)
+        except OSError:
+            return False
+        return True
+
     def _forward_ordinary(self, raw: bytes, now: float) -> bool:
         """Send an ordinary packet on its kept path; return whether it has one."""
         if len(raw) < self._head_bytes:
@@ -131,6 +151,9 @@
         return True
 
     def _take(self, raw: bytes, now: float) -> None:
+        if not self._state.ready:
+            self._held.hold(raw, now)
+            return
         packet = self._format.read(raw)
         if isinstance(packet, str):
             self._count(packet)
@@ -167,5 +190,5 @@
         self._count('send_error')
         self._note_fault(f'send: {refused}', raw)
 
-    def _count(self, fate: str) -> None:
-        self._count_by_fate[fate] = self._count_by_fate.get(fate, 0) + 1
+    def _count(self, fate: str, packets: int = 1) -> None:
+        self._count_by_fate[fate] = self._count_by_fate.get(fate, 0) + packets
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -7,7 +7,6 @@
 from collections.abc import Mapping
 from json import JSONDecodeError
 from json import loads as decode_json
-from typing import Any
 
 
 #: Value of the setting `steering` that chooses this daemon.
@@ -43,7 +42,7 @@
         'store',
     )
 
-    def __init__(self, fields: Mapping[str, Any]) -> None:
+    def __init__(self, fields: Mapping[str, object]) -> None:
         """Check and keep the fields.  Raises SettingsError."""
         self.name = _text(fields, 'name')
         self.data_centre = _text(fields, 'data_centre')
@@ -70,7 +69,7 @@
         raise SettingsError(f'{path}: {fault}; correct it, see docs/OPERATIONS.md') from fault
 
 
-def _read_object(path: str) -> dict[str, Any]:
+def _read_object(path: str) -> dict[str, object]:
     try:
         with open(path, encoding='utf-8') as lines:
             fields = decode_json(lines.read())
@@ -83,25 +82,25 @@
     return fields
 
 
-def _text(fields: Mapping[str, Any], name: str) -> str:
+def _text(fields: Mapping[str, object], name: str) -> str:
     found = fields.get(name)
     if not isinstance(found, str) or not found:
         raise SettingsError(f'$.{name}: {found!r} is no text')
     return found
 
 
-def _addresses(fields: Mapping[str, Any], name: str) -> tuple[tuple[str, int], ...]:
+def _addresses(fields: Mapping[str, object], name: str) -> tuple[tuple[str, int], ...]:
     listed = fields.get(name)
     if not isinstance(listed, list):
         raise SettingsError(f'$.{name}: {listed!r} is no list of addresses')
     return tuple(_checked(found, f'{name}[{place}]') for place, found in enumerate(listed))
 
 
-def _address(fields: Mapping[str, Any], name: str) -> tuple[str, int]:
+def _address(fields: Mapping[str, object], name: str) -> tuple[str, int]:
     return _checked(_text(fields, name), name)
 
 
-def _checked(found: Any, name: str) -> tuple[str, int]:
+def _checked(found: object, name: str) -> tuple[str, int]:
     if not isinstance(found, str):
         raise SettingsError(f'$.{name}: {found!r} is no text')
     host, _, port = found.rpartition(':')
@@ -116,7 +115,7 @@
     return octet.isdecimal() and int(octet) <= _MOST_OCTET
 
 
-def _seconds(fields: Mapping[str, Any], name: str) -> float:
+def _seconds(fields: Mapping[str, object], name: str) -> float:
     found = fields.get(name)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
         raise SettingsError(f'$.{name}: {found!r} is no number of seconds')
--- a/src/bronzekeel/platform/start.py
+++ b/src/bronzekeel/platform/start.py
@@ -3,29 +3,42 @@
 import sys
 from os import environ
 
-from bronzekeel.entry.daemon import serve
+from bronzekeel.entry.packet_port import bound_packet_port
 from bronzekeel.entry.settings import SettingsError, read_entry_settings
-from bronzekeel.platform.objects import PlatformStore
-from bronzekeel.platform.packets import PlatformPackets
 
 
 _SETTINGS_VARIABLE = 'BRONZEKEEL_NODE_FILE'
 
 
 def serve_on_platform(path: str) -> int:
-    """Run until the platform stops it; return the exit code."""
+    """Run until the platform stops it; return the exit code.
+
+    Callers' packets have a socket to wait in while all else is loaded.
+    """
     try:
         settings = read_entry_settings(path)
-        serve(path, PlatformPackets(settings.packets[1]), PlatformStore())
+        packet_port = bound_packet_port(settings.packets)
     except SettingsError as fault:
-        sys.stderr.write(f'{fault}\n')
-        return 1
+        return _refused(str(fault))
+    except OSError as fault:
+        return _refused(f'{fault}; free the port or change the address')
+    from bronzekeel.entry.daemon import serve  # noqa: WPS433 (after the port is bound)
+    from bronzekeel.platform.objects import PlatformStore  # noqa: WPS433 (likewise)
+    from bronzekeel.platform.packets import PlatformPackets  # noqa: WPS433 (likewise)
+
+    packet_format = PlatformPackets(settings.packets[1])
+    try:
+        serve(path, settings, packet_port, packet_format, PlatformStore())
     except OSError as fault:
-        sys.stderr.write(f'{fault}; free the port or change the address\n')
-        return 1
+        return _refused(f'{fault}; free the port or change the address')
     return 0
 
 
 def main() -> int:
     """Run with the settings that the platform names; return the exit code."""
     return serve_on_platform(environ.get(_SETTINGS_VARIABLE, ''))
+
+
+def _refused(problem: str) -> int:
+    sys.stderr.write(f'{problem}\n')
+    return 1
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from bronzekeel.core.routing.effects import (
+    DropWaiting,
     Effect,
     End,
     FetchView,
@@ -94,6 +95,7 @@
             WatchChanges: self._watch,
             SendHeartbeat: self._beat,
             FetchView: self._fetch,
+            DropWaiting: lambda node, effect: None,
             End: self._note_end,
         }
         self._node_by_address: dict[tuple[str, int], RoutingNode] = {}
