Let data centres tell each other how new their views are; doubt deaf watches

The store falls silent towards all hosts that watch for a data centre and closes nothing; they notice at the end of their watches, ten seconds later, and claim until then that nothing has changed.

Change: two watchers of each data centre tell two hosts of every other each second; who hears that they have known more for 0.5 s fetches it there. A watch that does not tell within 0.5 s what a peer told is made anew. Who watches, and who tells others, are modules of their own.

Ruled out: shorter watches (eight times the calls); stale reads as a proof (a tenth of a call each two seconds, and they cannot show a single connection that went silent); telling at each change and not each second (bytes between data centres, for a gain of half a second).

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -26,6 +26,10 @@
 #: Source: twice the slowest answer of the users' store that serves at all.
 ANSWER_S = 2.0
 
+#: Seconds within which the own watch must tell what a peer has told.  Source: a
+#: store sixty times slower than its usual 4 ms answers in half of it.
+NEWS_S = 0.5
+
 #: Wait after a first failure, in seconds.  Source: a store's single refusal
 #: (a rate that is used up, a connection that was reset) passes in less.
 FIRST_WAIT_S = 0.2
@@ -51,13 +55,15 @@
     """Hold how far one collection was read.
 
     `revision` is the store's revision that is known here; `current_until` is
-    when the last answer no longer proves that the view is current.
+    when the last answer no longer proves that the view is current; at `doubtful_at`
+    the watch must have told what a peer has told.
     """
 
     __slots__ = (
         '_host',
         'collection',
         'current_until',
+        'doubtful_at',
         'failures',
         'found',
         'listed',
@@ -73,6 +79,7 @@
         self._host = host
         self.collection = collection
         self.current_until: float = 0
+        self.doubtful_at: float | None = None
         self.failures = 0
         self.found: set[str] = set()
         self.listed = False
@@ -92,6 +99,7 @@
         """Leave the store to other balancers."""
         self.paused = True
         self.current_until = 0
+        self.doubtful_at = None
         self.retry_at = None
         self.lost = False
         self.failures = 0
@@ -107,6 +115,20 @@
         self.listed = True
         self.revision = max(self.revision, revision)
 
+    def expect_news(self, now: float) -> None:
+        """Note that a peer told what the own watch has to tell too."""
+        if self.doubtful_at is None and self.is_current(now):
+            self.doubtful_at = now + NEWS_S
+
+    def is_doubtful(self, now: float) -> bool:
+        """Whether the own watch did not tell what a peer told.
+
+        What goes wrong without it: the store falls silent towards a host and closes
+        nothing.  Until the watch ends the host claims that its view is current, and
+        no other takes its place as a watcher.
+        """
+        return self.doubtful_at is not None and now >= self.doubtful_at
+
     def begin_listing(self) -> Effect:
         """Ask for the first page."""
         self.found = set()
@@ -134,6 +156,7 @@
         self.failures = 0
         self.lost = False
         self.retry_at = None
+        self.doubtful_at = None
         self.current_until = now + WATCH_S + ANSWER_S
         return WatchChanges(self.collection, self.revision, WATCH_S)
 
@@ -143,12 +166,18 @@
         wait_s = min(most_s, FIRST_WAIT_S * 2 ** min(self.failures, _MOST_DOUBLINGS))
         self.failures += 1
         self.lost = True
+        self.doubtful_at = None
         spread = crc32(f'{self._host}/{self.collection}/{self.failures}'.encode()) % _SPREAD
         self.retry_at = now + wait_s * (0.5 + spread / _SPREAD)
 
     def resume(self) -> Effect:
-        """Go on where a failure or a rest was, from what peers told meanwhile."""
+        """Go on where a failure or a rest was, from what peers told meanwhile.
+
+        A call in progress is given up.
+        """
         self.paused = False
+        self.current_until = 0
+        self.doubtful_at = None
         self.retry_at = None
         if self.listed:
             return WatchChanges(self.collection, self.revision, PROVING_WATCH_S)
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -58,6 +58,12 @@
         self.lost = lost
         self.stopping = stopping
 
+    def knows_more(self, text_revision: int, upstreams_revision: int) -> bool:
+        """Whether its sender knew something newer than these revisions."""
+        if self.text_revision > text_revision:
+            return True
+        return self.upstreams_revision > upstreams_revision
+
 
 class MissingEntry:
     """Tell that an upstream's entry was removed at `revision`.
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -4,11 +4,6 @@
 heartbeat names others.  One that was heard gets heartbeats even while it is
 silent: a host that restarts in a data centre that is cut off from the store
 hears from its neighbours before it could find them.
-
-A third of the balancers of a large data centre watch the store; the others learn
-from them.  Without that each change would cost the store a call a host and
-collection.  One that hears no watcher watches for itself, so a wrong choice costs
-calls and never a change.
 """
 
 from zlib import crc32
@@ -16,17 +11,6 @@
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 
 
-#: Balancers of a data centre that watch the store at least.  Source: the small
-#: sites have three or four, and the store may be silent towards a third of all
-#: hosts for a whole watch without their knowing it: all but those must hear of a
-#: change, so with so few everyone watches.
-LEAST_WATCHERS = 4
-
-#: Of a larger data centre one host in so many watches.  Source: at the size of the
-#: grown sites this is six to nine, so that one that hears is left in all but one
-#: in five hundred of such faults, at a third of the calls of everyone watching.
-HOSTS_A_WATCHER = 3
-
 #: Least interval in seconds between two heartbeats to the same peer.  Source:
 #: loads change within a request's mean work of some fifty milliseconds; five
 #: of them are late enough to cost little and early enough to see a burst.
@@ -38,7 +22,7 @@
 _SPACING_S = 0.04
 
 #: Intervals of silence after which a peer is not relied on.
-_SILENT_INTERVALS = 4
+SILENT_INTERVALS = 4
 
 #: Interval in seconds of heartbeats to the seeds of other data centres.  Source:
 #: bytes between data centres are dear, and with 300 hosts each 2 s they were
@@ -114,13 +98,21 @@
 
     def living(self, now: float) -> list[Peer]:
         """Return the peers of the own data centre that were heard of late."""
-        silent_s = self.interval_s * _SILENT_INTERVALS
+        silent_s = self.interval_s * SILENT_INTERVALS
         return [
             peer
             for peer in self.by_name.values()
             if self._is_near(peer) and peer.heard_at is not None and now < peer.heard_at + silent_s
         ]
 
+    def elsewhere_by_centre(self) -> dict[str, list[Peer]]:
+        """Return the peers of each other data centre."""
+        by_centre: dict[str, list[Peer]] = {}
+        for peer in self.by_name.values():
+            if not self._is_near(peer):
+                by_centre.setdefault(peer.address.data_centre, []).append(peer)
+        return by_centre
+
     def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Note a heartbeat; return whether its sender was not known."""
         name = heartbeat.sender.name
@@ -178,77 +170,28 @@
     def some_others(self, data_centre: str, now: float) -> tuple[PeerAddress, ...]:
         """Return peers to name to those in `data_centre`, all of them in turn.
 
-        Only those that were heard here of late: if silent ones were named too,
-        two balancers would remind each other of a host that is long gone.
+        Neighbours get the names of hosts elsewhere too: any of them may have to
+        tell those what is new.  Only hosts that were heard here of late: if silent
+        ones were named too, two balancers would remind each other of a host that
+        is long gone.
         """
         self._turn += 1
+        near = data_centre == self.me.data_centre
         named = [
             peer.address
             for peer in self.by_name.values()
-            if peer.address.data_centre == data_centre and _is_heard(peer, now)
+            if (near or peer.address.data_centre == data_centre) and _is_heard(peer, now)
         ]
         if not named:
             return ()
         start = self._turn % len(named)
         return tuple((named[start:] + named[:start])[:_MOST_OTHERS])
 
-    def watchers(self, now: float) -> int:
-        """Return how many balancers of the data centre have to watch the store."""
-        hosts = len(self.living(now)) + 1
-        return max(LEAST_WATCHERS, -(-hosts // HOSTS_A_WATCHER))
-
-    def is_watcher(self, now: float, *, direct: bool, lost: bool) -> bool:
-        """Whether this balancer has to watch the store.
-
-        Those whose watches work do, the first by their names' hashes.  While
-        they are too few, the first of the others try; one that the store does
-        not answer (`lost`) takes nobody's place.  `direct` tells that our own
-        watches work.
-        """
-        rank = _rank(self.me.name)
-        working = 0
-        working_before = 0
-        trying_before = 0
-        for peer in self.living(now):
-            heartbeat = peer.heartbeat
-            if heartbeat is None or heartbeat.stopping:
-                continue
-            before = _rank(peer.address.name) < rank
-            if heartbeat.direct:
-                working += 1
-                working_before += before
-            elif not heartbeat.lost:
-                trying_before += before
-        needed = self.watchers(now)
-        if direct:
-            return working_before < needed
-        if lost:
-            return working < needed
-        return working + trying_before < needed
-
-    def has_current_watcher(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
-        """Whether a living watcher knows nothing newer than these revisions."""
-        told = False
-        for peer in self.living(now):
-            heartbeat = peer.heartbeat
-            if heartbeat is None or not heartbeat.direct:
-                continue
-            if heartbeat.text_revision > text_revision:
-                return False
-            if heartbeat.upstreams_revision > upstreams_revision:
-                return False
-            told = True
-        return told
-
     def knows_more(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
         """Whether a living peer knows something newer than these revisions."""
         for peer in self.living(now):
             heartbeat = peer.heartbeat
-            if heartbeat is None:
-                continue
-            if heartbeat.text_revision > text_revision:
-                return True
-            if heartbeat.upstreams_revision > upstreams_revision:
+            if heartbeat is not None and heartbeat.knows_more(text_revision, upstreams_revision):
                 return True
         return False
 
@@ -270,7 +213,8 @@
     return peer.heard_at is not None and now < peer.heard_at + NAMED_S
 
 
-def _rank(name: str) -> tuple[int, str]:
+def rank_of(name: str) -> tuple[int, str]:
+    """Return the place of a balancer in the order of their names' hashes."""
     return crc32(name.encode()), name
 
 
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -31,6 +31,7 @@
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.sharing import (
+    ask_elsewhere,
     beat,
     is_long_behind,
     on_heartbeat,
@@ -238,6 +239,7 @@
     state.peers.forget_silent(now)
     share_loads(state, now)
     effects = _follow_on(state, now)
+    effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
     if state.stopping.is_done(now):
         effects.append(WriteLine(LogNumber.STOPPED, refusals=state.stopping.refusals))
@@ -253,6 +255,16 @@
         state.behind_since = now
         asks = True
     for follower in state.follower_by_collection.values():
+        if follower.is_doubtful(now):
+            effects.append(
+                WriteLine(
+                    LogNumber.WATCH_DOUBTED,
+                    collection=follower.collection.value,
+                    revision=follower.revision,
+                ),
+            )
+            effects.append(follower.resume())
+            continue
         if not follower.is_due(now):
             continue
         if asks or not follower.listed:
--- /dev/null
+++ b/src/bronzekeel/core/routing/relays.py
@@ -0,0 +1,88 @@
+"""Tell other data centres what is known, and hear from them what is not known here.
+
+A watch may be deaf: the store says nothing to a host and closes nothing.  A few
+watchers of each data centre tell a few hosts of every other how new their views
+are, so a data centre whose watchers are all deaf hears of it.
+"""
+
+from zlib import crc32
+
+from bronzekeel.core.routing.messages import PeerAddress
+from bronzekeel.core.routing.peers import SILENT_INTERVALS, Peer, PeerTable, rank_of
+
+
+#: Watchers of a data centre that tell other data centres, and hosts of each that
+#: are told.  Source: one may be deaf, or dead without anybody knowing yet.
+RELAYS = 2
+
+#: Interval in seconds at which they tell.  Source: with the wait before another data
+#: centre is asked (``PATIENCE_S``) and one fetch, a third of the shortest bound on a change
+#: (3 s) remains; 24 datagrams of 150 bytes a second among three data centres.
+RELAY_S = 1.0
+
+
+class Relays:
+    """Choose whom to tell, and find who elsewhere knows more."""
+
+    def __init__(self, peers: PeerTable) -> None:
+        """Choose among `peers`."""
+        self._peers = peers
+        self._due_at: float = 0
+        self._turn = 0
+
+    def due(self, now: float, *, direct: bool) -> list[tuple[str, int]]:
+        """Return the addresses in other data centres that are to be told now.
+
+        Only the first of those whose watches work (`direct`) tell.
+        """
+        if now < self._due_at:
+            return []
+        self._due_at = now + RELAY_S
+        if not direct or self._working_before(now) >= RELAYS:
+            return []
+        told: list[tuple[str, int]] = []
+        for peers in self._peers.elsewhere_by_centre().values():
+            told.extend(self._told_of(peers, now))
+        return told
+
+    def ahead(
+        self,
+        text_revision: int,
+        upstreams_revision: int,
+        now: float,
+    ) -> PeerAddress | None:
+        """Return a host of another data centre that lately knew more than these revisions."""
+        for peers in self._peers.elsewhere_by_centre().values():
+            for peer in peers:
+                heartbeat = peer.heartbeat
+                if heartbeat is None or not _is_fresh(peer, now):
+                    continue
+                if heartbeat.knows_more(text_revision, upstreams_revision):
+                    return peer.address
+        return None
+
+    def _told_of(self, peers: list[Peer], now: float) -> list[tuple[str, int]]:
+        """Return whom of one data centre to tell: those heard first, all others in turn."""
+        self._turn += 1
+        salt = str(self._turn)
+        heard = [peer for peer in peers if _is_fresh(peer, now)]
+        heard.sort(key=lambda peer: rank_of(peer.address.name))
+        others = [peer for peer in peers if not _is_fresh(peer, now)]
+        others.sort(key=lambda peer: crc32((peer.address.name + salt).encode()))
+        return [peer.address.address for peer in (heard + others)[:RELAYS]]
+
+    def _working_before(self, now: float) -> int:
+        """Return how many neighbours with working watches come before this balancer."""
+        rank = rank_of(self._peers.me.name)
+        return sum(
+            peer.heartbeat is not None
+            and peer.heartbeat.direct
+            and not peer.heartbeat.stopping
+            and rank_of(peer.address.name) < rank
+            for peer in self._peers.living(now)
+        )
+
+
+def _is_fresh(peer: Peer, now: float) -> bool:
+    """Whether a host elsewhere was heard within a few of its intervals."""
+    return peer.heard_at is not None and now < peer.heard_at + RELAY_S * SILENT_INTERVALS
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -12,7 +12,7 @@
 from bronzekeel.core.routing.effects import Effect, FetchView, SendHeartbeat, WriteLine
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
-from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, View
+from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.taking import take_entry, take_removal, take_text
@@ -26,6 +26,11 @@
 #: know asks the store.  Source: a third of the shortest bound on a change (3 s).
 BEHIND_S = 1.0
 
+#: Seconds for which another data centre must have known more before it is asked.
+#: Source: the own watch tells of a change within 0.25 s of another's, also if the
+#: store is sixty times slower than its usual 4 ms; twice that.
+PATIENCE_S = 0.5
+
 #: Upstreams whose load a heartbeat tells at most, the busiest first.
 MOST_LOADS = 24
 
@@ -36,9 +41,10 @@
     near = state.peers.due_neighbours(now)
     if near:
         effects.append(SendHeartbeat(_heartbeat(state, state.peers.me.data_centre, now), near))
-    seeds = state.peers.due_seeds(now, ready=state.ready)
-    if seeds:
-        effects.append(SendHeartbeat(_brief_heartbeat(state, now), seeds))
+    far = state.peers.due_seeds(now, ready=state.ready)
+    far.extend(state.relays.due(now, direct=state.is_direct(now)))
+    if far:
+        effects.append(SendHeartbeat(_brief_heartbeat(state, now), far))
     return effects
 
 
@@ -70,16 +76,17 @@
     if state.behind_since is None:
         state.behind_since = now
     if now >= state.fetch_until:
-        state.fetch_until = now + FETCH_S
-        effects.append(
-            FetchView(sender.address, state.text_revision, state.directory.newest_revision),
-        )
+        effects.append(_fetch_from(state, sender, now))
     return effects
 
 
 def take_view(state: RoutingState, event: ViewFetched, now: float) -> list[Effect]:
-    """Take what a peer knows."""
+    """Take what a peer knows.
+
+    What another data centre told is told on at once: here everybody waits for it.
+    """
     view = event.view
+    known = (state.text_revision, state.directory.newest_revision)
     state.fetch_until = now
     effects: list[Effect] = []
     if view.text is not None:
@@ -95,6 +102,7 @@
     if view.upstreams_followed:
         followers[Collection.UPSTREAMS].adopt(view.upstreams_followed)
     effects.extend(become_ready(state))
+    effects.extend(_note_news(state, known, now))
     return effects
 
 
@@ -120,6 +128,29 @@
     return now >= state.behind_since + BEHIND_S
 
 
+def ask_elsewhere(state: RoutingState, now: float) -> list[Effect]:
+    """Ask a host of another data centre that has known more for ``PATIENCE_S``.
+
+    What goes wrong without it: the store falls silent towards all watchers of a
+    data centre and closes nothing.  Until their watches end they tell everybody that
+    nothing has changed, and the data centre goes by an old text and sends to
+    upstreams that have left.  One notices by hosts elsewhere that know more.
+    """
+    ahead = state.relays.ahead(
+        state.text_revision,
+        state.directory.newest_revision,
+        now,
+    )
+    if ahead is None or not state.ready:
+        state.told_elsewhere_at = None
+        return []
+    if state.told_elsewhere_at is None:
+        state.told_elsewhere_at = now
+    if now < max(state.told_elsewhere_at + PATIENCE_S, state.fetch_until):
+        return []
+    return [_fetch_from(state, ahead, now)]
+
+
 def view_since(
     state: RoutingState,
     text_revision: int,
@@ -163,8 +194,32 @@
         upstream.busy_elsewhere = elsewhere.get(number, 0)
 
 
+def _fetch_from(state: RoutingState, peer: PeerAddress, now: float) -> Effect:
+    """Ask a peer for what it knows beyond what is known here."""
+    state.fetch_until = now + FETCH_S
+    return FetchView(peer.address, state.text_revision, state.directory.newest_revision)
+
+
+def _note_news(state: RoutingState, known: tuple[int, int], now: float) -> list[Effect]:
+    """Note what a view told beyond the `known` revisions of text and upstreams.
+
+    Own watches have to tell the same soon, else they are doubted.  What another
+    data centre told is told on at once: here everybody waits for it.
+    """
+    text_revision, upstreams_revision = known
+    followers = state.follower_by_collection
+    if state.text_revision > text_revision:
+        followers[Collection.TEXT].expect_news(now)
+    if state.directory.newest_revision > upstreams_revision:
+        followers[Collection.UPSTREAMS].expect_news(now)
+    told = known != (state.text_revision, state.directory.newest_revision)
+    if told and state.told_elsewhere_at is not None:
+        return announce_change(state, now)
+    return []
+
+
 def _brief_heartbeat(state: RoutingState, now: float) -> Heartbeat:
-    """Return what seeds of other data centres need: who this is and how new its views are."""
+    """Return what hosts of other data centres need: who this is and how new its views are."""
     return Heartbeat(
         state.peers.me,
         state.text_revision,
@@ -209,9 +264,7 @@
         return True
     if heartbeat.sender.data_centre != state.peers.me.data_centre:
         return False
-    if heartbeat.text_revision > state.text_revision:
-        return True
-    return heartbeat.upstreams_revision > state.directory.newest_revision
+    return heartbeat.knows_more(state.text_revision, state.directory.newest_revision)
 
 
 def _take_missing(state: RoutingState, missing: MissingEntry, now: float) -> list[Effect]:
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -5,15 +5,17 @@
 from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.core.routing.peers import PeerTable
+from bronzekeel.core.routing.relays import Relays
 from bronzekeel.core.routing.stopping import Stopping
+from bronzekeel.core.routing.watch_duty import has_current_watcher, is_watcher
 
 
 class RoutingState:
     """Hold text, upstreams, flows, peers, and how fresh each is.
 
     A view that was asked of a peer is awaited until `fetch_until`; a peer was
-    heard to know more than this balancer does at `behind_since`, None when none
-    does.
+    heard to know more than this balancer does at `behind_since`, and one of another
+    data centre at `told_elsewhere_at`; None when none does.
     """
 
     __slots__ = (
@@ -25,13 +27,16 @@
         'forget_at',
         'peers',
         'ready',
+        'relays',
         'stopping',
         'text',
+        'told_elsewhere_at',
     )
 
     def __init__(self, peers: PeerTable, stop_within_s: float) -> None:
         """Start knowing nothing; a stop ends after `stop_within_s` at the latest."""
         self.peers = peers
+        self.relays = Relays(peers)
         self.text: RoutingText | None = None
         self.directory = Directory()
         self.flows = FlowTable()
@@ -43,6 +48,7 @@
         self.forget_at: float = 0
         self.fetch_until: float = 0
         self.behind_since: float | None = None
+        self.told_elsewhere_at: float | None = None
 
     @property
     def text_revision(self) -> int:
@@ -70,13 +76,16 @@
         """Whether own watches or a watching peer prove that the views are new."""
         if self.is_direct(now):
             return True
-        return self.peers.has_current_watcher(
-            self.text_revision, self.directory.newest_revision, now
+        return has_current_watcher(
+            self.peers,
+            self.text_revision,
+            self.directory.newest_revision,
+            now,
         )
 
     def is_watcher(self, now: float) -> bool:
         """Whether this balancer has to watch the store."""
-        return self.peers.is_watcher(now, direct=self.is_direct(now), lost=self.is_lost)
+        return is_watcher(self.peers, now, direct=self.is_direct(now), lost=self.is_lost)
 
     def is_settled(self, now: float) -> bool:
         """Whether both views are current, and lapsed entries had time to come back."""
--- a/src/bronzekeel/entry/http_client.py
+++ b/src/bronzekeel/entry/http_client.py
@@ -81,7 +81,9 @@
         self._complete = False
 
     def get(self, call: Call) -> None:
-        """Make a call; there must be none in progress."""
+        """Make a call; one in progress is given up without a word."""
+        if self._call is not None:
+            self.close()
         self.calls += 1
         self._call = call
         self._body = []
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -54,7 +54,8 @@
     """Hold one balancer of a replay.
 
     `store` tells how the store treats it: 'serves', 'refuses' or 'silent'.
-    `boot` counts its starts: what was under way to an earlier one is lost.
+    `boot` counts its starts: what was under way to an earlier one is lost.  A call
+    gives up the one before it on the same collection.
     """
 
     me: PeerAddress
@@ -67,6 +68,7 @@
     calls: int = 0
     heartbeats: int = 0
     fetches: int = 0
+    watch_by_collection: dict[str, '_Watch'] = field(default_factory=dict)
     lines: Counter[int] = field(default_factory=Counter)
     revisions: list[int] = field(default_factory=list)
 
@@ -89,6 +91,7 @@
         self.node_by_name: dict[str, RoutingNode] = {}
         self.cut_centres: set[str] = set()
         self.views_pass = True
+        self.heartbeats_elsewhere = 0
         self._handlers: dict[type[Effect], Callable[..., None]] = {
             WriteLine: self._count_line,
             ReadPage: self._read_page,
@@ -195,7 +198,11 @@
 
     def _watch(self, node: RoutingNode, effect: WatchChanges) -> None:
         node.calls += 1
+        given_up = node.watch_by_collection.get(effect.collection)
+        if given_up in self._watches:
+            self._watches.remove(given_up)
         watch = _Watch(node, node.boot, effect)
+        node.watch_by_collection[effect.collection] = watch
         if not self._reaches_store(node):
             failed = CallFailed(effect.collection, 'no answer')
             self._end(watch, failed, _failing_s(node, effect.wait_s))
@@ -206,7 +213,7 @@
 
     def _look(self, watch: _Watch, *, last: bool = False) -> None:
         """Answer a watch if there is something new, or it has waited long enough."""
-        if not watch.open:
+        if not watch.open or watch not in self._watches:
             return
         if not self._reaches_store(watch.node):
             if last:
@@ -221,12 +228,18 @@
         watch.open = False
         if watch in self._watches:
             self._watches.remove(watch)
-        self.at(after_s, lambda: self._take(watch.node, watch.boot, event))
+        self.at(after_s, lambda: self._answer(watch, event))
+
+    def _answer(self, watch: _Watch, event: Event) -> None:
+        if watch.node.watch_by_collection.get(watch.effect.collection) is watch:
+            self._take(watch.node, watch.boot, event)
 
     def _beat(self, node: RoutingNode, effect: SendHeartbeat) -> None:
         for address in effect.addresses:
             node.heartbeats += 1
             peer = self._node_by_address.get(address)
+            if peer is not None and peer.me.data_centre != node.me.data_centre:
+                self.heartbeats_elsewhere += 1
             if peer is not None and self._reaches(node, peer):
                 self._deliver(peer, effect.heartbeat)
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -4,11 +4,21 @@
 
 from bronzekeel.core.routing.directory import REMEMBERED_S
 from bronzekeel.core.routing.events import ViewFetched
-from bronzekeel.core.routing.follower import WATCH_S, Collection
+from bronzekeel.core.routing.follower import (
+    ANSWER_S,
+    NEWS_S,
+    PROVING_WATCH_S,
+    WATCH_S,
+    Collection,
+    Follower,
+)
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
-from bronzekeel.core.routing.peers import FORGET_S, LEAST_WATCHERS, MOST_PEERS, NAMED_S, PeerTable
+from bronzekeel.core.routing.peers import FORGET_S, MOST_PEERS, NAMED_S, SEED_S, PeerTable
+from bronzekeel.core.routing.relays import RELAY_S, RELAYS
+from bronzekeel.core.routing.watch_duty import LONE_WATCHERS, WATCHERS
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.sharing import BEHIND_S, view_since
+from bronzekeel.replay.routing_fleet import RoutingFleet
 from tests.routing_cases import (
     asking,
     delivered_to,
@@ -24,6 +34,14 @@
 
 _SETTLED_S = 2 * WATCH_S + 1
 
+#: Seconds in which a data centre whose watchers are deaf must know: the users' bound.
+_TOLD_S = 3
+
+
+def _watching(fleet: RoutingFleet) -> list[str]:
+    """Return the names of the hosts whose watches work, as they believe."""
+    return [node.me.name for node in fleet.running if node.state.is_direct(fleet.now)]
+
 
 class TellingTest(TestCase):
     """A few watch the store, the others are told."""
@@ -41,7 +59,7 @@
         fleet.run(0.5)
         self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
         calls = sum(node.calls for node in fleet.running) - before
-        self.assertLessEqual(calls, 2 * LEAST_WATCHERS)
+        self.assertLessEqual(calls, 2 * LONE_WATCHERS)
 
     def test_all_are_current_though_few_watch(self) -> None:
         """A host that is told may refuse what is not in force, like a watcher."""
@@ -77,7 +95,7 @@
         fleet = fleet_of(6, ('dc-a',))
         fleet.run(_SETTLED_S)
         watching = [node.me.name for node in fleet.running if node.state.is_direct(fleet.now)]
-        self.assertEqual(LEAST_WATCHERS, len(watching))
+        self.assertEqual(LONE_WATCHERS, len(watching))
         for name in watching:
             fleet.kill(name)
         newest = put_text(fleet)
@@ -113,6 +131,75 @@
         fleet.run(0.5)
         self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
 
+    def test_a_data_centre_of_deaf_watchers_hears_from_another(self) -> None:
+        """Symptom: a data centre has a text, and an upstream's leaving, ten seconds late.
+
+        Sequence: the store falls silent, without a reset, towards all hosts that
+        watch for one of three data centres; text and upstreams change.
+        Cause: a watch that is waited for, and nobody who says what it should tell.
+        The data centre is not the one of the seeds, which hear from everybody.
+        """
+        fleet = fleet_of(8, ('dc-a', 'dc-b', 'dc-c'))
+        put_upstream(fleet, 2)
+        fleet.run(_SETTLED_S)
+        deaf = [name for name in _watching(fleet) if name.startswith('dc-c')]
+        self.assertEqual(WATCHERS, len(deaf))
+        fleet.lose_store(deaf, 'silent')
+        newest = put_text(fleet)
+        fleet.store.remove(Collection.UPSTREAMS, entry(2).name)
+        fleet.tell_watches()
+        fleet.run(_TOLD_S)
+        self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
+        for node in fleet.running:
+            self.assertFalse(node.state.directory.by_name[entry(2).name].listed)
+
+    def test_deaf_watchers_are_replaced_soon(self) -> None:
+        """Symptom: hosts that hear nothing pass for watchers until their watches end.
+
+        Sequence: the store falls silent towards two of three watchers; the text
+        changes, and the third tells it.
+        Cause: believing a watch that did not tell what a peer told.
+        """
+        fleet = fleet_of(8, ('dc-a', 'dc-b'))
+        fleet.run(_SETTLED_S)
+        deaf = [name for name in _watching(fleet) if name.startswith('dc-a')][:2]
+        fleet.lose_store(deaf, 'silent')
+        put_text(fleet)
+        fleet.run(NEWS_S + PROVING_WATCH_S + ANSWER_S + 1)
+        working = [name for name in _watching(fleet) if name.startswith('dc-a')]
+        self.assertEqual(WATCHERS, len(working))
+        self.assertFalse(set(working) & set(deaf))
+
+    def test_other_data_centres_are_told_by_few(self) -> None:
+        """Symptom: bytes between data centres grow with the square of the hosts.
+
+        Sequence: three data centres of twelve hosts each, nothing changes.
+        Cause: everybody telling everybody elsewhere.
+        """
+        fleet = fleet_of(12, ('dc-a', 'dc-b', 'dc-c'))
+        fleet.run(_SETTLED_S)
+        before = fleet.heartbeats_elsewhere
+        fleet.run(2 * SEED_S)
+        told = (fleet.heartbeats_elsewhere - before) / (2 * SEED_S)
+        seeds = 2 * len(fleet.running) / SEED_S
+        self.assertLessEqual(told, 6 * RELAYS * RELAYS / RELAY_S + seeds)
+
+    def test_a_watch_that_tells_late_is_not_doubted(self) -> None:
+        """Symptom: each change costs two calls more a watcher.
+
+        Sequence: a peer tells of a change a moment before the own watch does.
+        Cause: doubting a watch at once.
+        """
+        follower = Follower(Collection.TEXT, 'dc-a-1')
+        follower.adopt(1)
+        follower.watch(1)
+        follower.expect_news(2)
+        self.assertFalse(follower.is_doubtful(2 + NEWS_S / 2))
+        follower.watch(2 + NEWS_S / 2)
+        self.assertFalse(follower.is_doubtful(2 + 2 * NEWS_S))
+        follower.expect_news(5)
+        self.assertTrue(follower.is_doubtful(5 + NEWS_S))
+
     def test_a_silent_store_is_noticed(self) -> None:
         """Symptom: a host believes for ever that nothing changes.
 
