Call the store by one client and one set of waits

Command line and keepers called the store by aiohttp, with times and waits of their own (5 and 20 s a call, waits up to 10 s spread at random); the lean balancer by its own connection, with others. Two copies of one thing drift apart.

Change: the lean connection takes method and body, and lives in any loop behind an abstract class; an asyncio loop is the second one. The platform's client uses it for every call. Times and waits stand in core/store_waits.py, with their sources, for both.

Ruled out: asyncio in the lean balancer (0.06 to 0.09 s of processor time at a start); a thread for the client (two clocks and locks for nothing).

--- a/src/bronzekeel/adapters/rollout.py
+++ b/src/bronzekeel/adapters/rollout.py
@@ -12,6 +12,7 @@
 from bronzekeel.core.events import Event, HostsListed, TextAccepted
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.messages import HostEntry
+from bronzekeel.core.store_waits import retry_wait_s
 from bronzekeel.text.checks import catalogue_of, parse_text
 from bronzekeel.text.faults import TextError
 from bronzekeel.text.submission import (
@@ -25,25 +26,30 @@
 
 _logger = getLogger(__name__)
 
-_FIRST_WAIT_S = 0.2
-_MOST_WAIT_S = 10.0
+
+#: Interval in seconds at which a watcher reads the list of hosts.  Source: the
+#: platform's own list lags by about as much.
 _HOSTS_EVERY_S = 10.0
+
+#: Interval in seconds while the list was never read: peers are found by it alone.
+_HOSTS_UNREAD_S = 1.0
 _READ_FAULTS = (StoreLost, StoreRefused, DecodeError, ValidationError)
 
 
 class TextSource:
     """Watch the platform's head while the balancer has that role.
 
-    After a failure the wait doubles and is spread at random: else the whole
-    fleet would call at once when a platform comes back.
+    After a failure it waits as all callers of the store do (`core.store_waits`).
     """
 
     def __init__(
         self,
+        host: str,
         platform: PlatformClient,
         emit: Callable[[Event], None],
     ) -> None:
-        """Read from `platform` and feed the reducer by `emit`."""
+        """Read from `platform` for `host` and feed the reducer by `emit`."""
+        self._host = host
         self._platform = platform
         self._emit = emit
         self._version = 0
@@ -68,18 +74,19 @@
             self._tasks['watch'] = create_task(self._watch())
 
     async def _watch(self) -> None:
-        wait_s = _FIRST_WAIT_S
+        failures = 0
         while True:
             try:
                 stored = await self._platform.watch(HEAD_KEY, self._version)
                 if stored is not None:
                     await self._read_text(stored.version, stored.body)
-                wait_s = _FIRST_WAIT_S
+                failures = 0
                 self._note_lost(lost=False)
             except (StoreLost, StoreRefused):
+                failures += 1
                 self._note_lost(lost=True)
-                await sleep(wait_s * (0.5 + random()))
-                wait_s = min(_MOST_WAIT_S, wait_s * 2)
+                known = bool(self._version)
+                await sleep(retry_wait_s(failures, f'{self._host}/{HEAD_KEY}', known=known))
 
     async def _read_text(self, version: int, body: bytes) -> None:
         try:
@@ -110,7 +117,7 @@
         while True:
             if not version or 'watch' in self._tasks:
                 version = max(version, await self._read_hosts(version))
-            wait_s = _HOSTS_EVERY_S if version else 1.0
+            wait_s = _HOSTS_EVERY_S if version else _HOSTS_UNREAD_S
             await sleep(wait_s * (0.5 + random()))
 
     async def _read_hosts(self, version: int) -> int:
--- a/src/bronzekeel/balancer/daemon.py
+++ b/src/bronzekeel/balancer/daemon.py
@@ -86,7 +86,7 @@
         self.state: BalancerState | None = None
         self.me: HostEntry | None = None
         self._clock = clock
-        self._texts = TextSource(self.platform, self.events.on_next)
+        self._texts = TextSource(settings.name, self.platform, self.events.on_next)
         self._upstreams = Upstreams(self.events.on_next)
         self._packets = PacketSocket(
             settings.address,
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -2,47 +2,21 @@
 
 What goes wrong: the store is down, slow, silent, refuses calls, loses its
 history or cuts a watch off.  One notices by an answer that is a refusal or does
-not come.  After each failure the wait doubles and is spread by the host's name,
-so that a fleet does not call at once when the store returns; after a lost history
-the collection is listed anew, and what is missing then was removed meanwhile.
+not come.  After each failure it is called again later (`core.store_waits`); after a
+lost history the collection is listed anew, and what is missing then was removed
+meanwhile.
 """
 
 from enum import StrEnum
-from zlib import crc32
 
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
+from bronzekeel.core.store_waits import ANSWER_S, PROVING_WATCH_S, WATCH_S, retry_wait_s
 
 
-#: Seconds that a watch may wait for a change.  Source: half of the least
-#: history that the users' store keeps (20 s), so a watch that is cut off can
-#: go on where it was.
-WATCH_S = 8.0
-
-#: Seconds that the first watch after a failure waits: it shows that the store
-#: answers, which a waiting watch would show only at its end.
-PROVING_WATCH_S = 0.02
-
-#: Seconds beyond a watch's wait in which the answer to a watch must have come.
-#: Source: twice the slowest answer of the users' store that serves at all.
-ANSWER_S = 2.0
-
 #: Seconds within which the own watch must tell what a peer has told.  Source: a
 #: store sixty times slower than its usual 4 ms answers in half of it.
 NEWS_S = 0.5
 
-#: Wait after a first failure, in seconds.  Source: a store's single refusal
-#: (a rate that is used up, a connection that was reset) passes in less.
-FIRST_WAIT_S = 0.2
-
-#: Longest wait in seconds while the collection was never read: nothing is served.
-MOST_WAIT_UNREAD_S = 0.5
-
-#: Longest wait in seconds when something older is known.  Source: the bound on
-#: a change in force is 3 s after the store is stable again.
-MOST_WAIT_S = 1.5
-
-_SPREAD = 1000
-
 
 class Collection(StrEnum):
     """Name the collections that a balancer follows."""
@@ -162,13 +136,11 @@
 
     def fail(self, now: float) -> None:
         """Plan the next try."""
-        most_s = MOST_WAIT_S if self.listed else MOST_WAIT_UNREAD_S
-        wait_s = min(most_s, FIRST_WAIT_S * 2 ** min(self.failures, _MOST_DOUBLINGS))
         self.failures += 1
         self.lost = True
         self.doubtful_at = None
-        spread = crc32(f'{self._host}/{self.collection}/{self.failures}'.encode()) % _SPREAD
-        self.retry_at = now + wait_s * (0.5 + spread / _SPREAD)
+        caller = f'{self._host}/{self.collection}'
+        self.retry_at = now + retry_wait_s(self.failures, caller, known=self.listed)
 
     def resume(self) -> Effect:
         """Go on where a failure or a rest was, from what peers told meanwhile.
@@ -187,6 +159,3 @@
         if self.listing_revision is None:
             self.listing_revision = revision
         self.found.update(names)
-
-
-_MOST_DOUBLINGS = 6
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -29,7 +29,6 @@
     StopAsked,
     Ticked,
 )
-from bronzekeel.core.routing.follower import ANSWER_S
 from bronzekeel.core.routing.messages import PeerAddress, View
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.placement import LeastBusy
@@ -37,6 +36,7 @@
 from bronzekeel.core.routing.sharing import view_since
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
+from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.entry.http_client import Call, HttpConnection
 from bronzekeel.entry.http_server import NOT_FOUND, OK, UNAVAILABLE, Answer, HttpServer
 from bronzekeel.entry.decision_log import LineDecisionLog
@@ -181,7 +181,7 @@
         read: Callable[[str, int, bytes], Event],
     ) -> None:
         """Make a call whose answer is taken as the event that `read` makes of it."""
-        self._connection_by_collection[collection].get(
+        self._connection_by_collection[collection].ask(
             Call(
                 target,
                 until,
--- a/src/bronzekeel/entry/http_client.py
+++ b/src/bronzekeel/entry/http_client.py
@@ -1,4 +1,4 @@
-"""Call the store over one kept connection, one call at a time."""
+"""Call the store, or a peer, over one kept connection, one call at a time."""
 
 from collections.abc import Callable
 from errno import EINPROGRESS
@@ -21,7 +21,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from bronzekeel.entry.loop import Deadline, Loop
+from bronzekeel.entry.sockets import Deadline, SocketLoop
 
 
 #: Seconds of silence after which the kernel asks whether the peer is there,
@@ -44,7 +44,7 @@
 class Call:
     """Hold one call: what is asked, by when, and who is told."""
 
-    __slots__ = ('answered', 'failed', 'target', 'until')
+    __slots__ = ('answered', 'body', 'failed', 'method', 'target', 'until')
 
     def __init__(
         self,
@@ -52,9 +52,13 @@
         until: float,
         answered: _ANSWERED,
         failed: _FAILED,
+        method: str = 'GET',
+        body: bytes = b'',
     ) -> None:
         """Ask for `target`; the answer must be complete at `until`."""
+        self.method = method
         self.target = target
+        self.body = body
         self.until = until
         self.answered = answered
         self.failed = failed
@@ -66,7 +70,7 @@
     ``calls`` counts what was sent.
     """
 
-    def __init__(self, loop: Loop, address: tuple[str, int]) -> None:
+    def __init__(self, loop: SocketLoop, address: tuple[str, int]) -> None:
         """Connect to `address` with the first call."""
         self.calls = 0
         self._loop = loop
@@ -80,7 +84,7 @@
         self._connected = False
         self._complete = False
 
-    def get(self, call: Call) -> None:
+    def ask(self, call: Call) -> None:
         """Make a call; one in progress is given up without a word."""
         if self._call is not None:
             self.close()
@@ -88,8 +92,7 @@
         self._call = call
         self._body = []
         self._complete = False
-        host = ':'.join(map(str, self._address))
-        self._unsent = f'GET {call.target} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
+        self._unsent = self._encoded(call)
         self._deadline = self._loop.call_at(call.until, self._time_out)
         try:
             self._open_and_send()
@@ -114,6 +117,15 @@
         """Note that the answer is whole (called by the parser)."""
         self._complete = True
 
+    def _encoded(self, call: Call) -> bytes:
+        host = ':'.join(map(str, self._address))
+        lines = [f'{call.method} {call.target} HTTP/1.1', f'Host: {host}']
+        if call.body:
+            lines.append('Content-Type: application/json')
+            lines.append(f'Content-Length: {len(call.body)}')
+        head = '\r\n'.join(lines)
+        return f'{head}\r\n\r\n'.encode() + call.body
+
     def _open_and_send(self) -> None:
         if self._socket is None:
             self._socket = _connecting(self._address)
--- a/src/bronzekeel/entry/loop.py
+++ b/src/bronzekeel/entry/loop.py
@@ -11,8 +11,8 @@
 from socket import socket
 from time import CLOCK_BOOTTIME, clock_gettime, monotonic
 
+from bronzekeel.entry.sockets import Deadline, SocketCallback, SocketLoop
 
-_Callback = Callable[[int], None]
 
 #: Seconds between two rounds beyond the planned wait that make a pause.
 #: Source: the longest work of one round, a large text read on the smallest
@@ -20,26 +20,6 @@
 PAUSE_S = 0.5
 
 
-class Deadline:
-    """Hold one call that is due at a moment of the steady clock."""
-
-    __slots__ = ('at', 'call', 'cancelled')
-
-    def __init__(self, at: float, call: Callable[[], None]) -> None:
-        """Call `call` at `at`."""
-        self.at = at
-        self.call = call
-        self.cancelled = False
-
-    def __lt__(self, other: 'Deadline') -> bool:
-        """Order by time."""
-        return self.at < other.at
-
-    def cancel(self) -> None:
-        """Never make the call."""
-        self.cancelled = True
-
-
 def counting_time() -> float:
     """Return the seconds of a clock that counts suspensions too."""
     return clock_gettime(CLOCK_BOOTTIME)
@@ -77,7 +57,7 @@
         return slept_s if slept_s > PAUSE_S else 0
 
 
-class Loop:
+class Loop(SocketLoop):
     """Call back for ready sockets and for deadlines that have passed.
 
     After a pause `on_pause` is called with its length before anything else.
@@ -96,7 +76,7 @@
         """Whether it serves."""
         return self._running
 
-    def watch(self, sock: socket, mask: int, callback: _Callback) -> None:
+    def watch(self, sock: socket, mask: int, callback: SocketCallback) -> None:
         """Call `callback` with the events that `sock` is ready for."""
         if sock.fileno() in self._selector.get_map():
             self._selector.modify(sock, mask, callback)
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -105,7 +105,7 @@
             self._fetch.close()
         address = effect.address
         self._fetch = HttpConnection(self._loop, address)
-        self._fetch.get(
+        self._fetch.ask(
             Call(
                 f'{_PATH}{effect.text_revision}/{effect.upstreams_revision}',
                 monotonic() + FETCH_S,
--- a/src/bronzekeel/platform/client.py
+++ b/src/bronzekeel/platform/client.py
@@ -4,12 +4,18 @@
 The version of an object is the store's revision of its last change.
 """
 
+from asyncio import CancelledError, Future, get_running_loop
 from base64 import b64decode, b64encode
+from time import monotonic
 from typing import Any, Self
+from urllib.parse import urlsplit
 
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
-from msgspec import Struct
+from msgspec import DecodeError, Struct
+from msgspec.json import decode, encode
 
+from bronzekeel.adapters.asyncio_loop import AsyncioLoop
+from bronzekeel.core.store_waits import ANSWER_S, WATCH_S
+from bronzekeel.entry.http_client import Call, HttpConnection
 from bronzekeel.platform.calls import list_target, object_target, watch_target
 from bronzekeel.text.submission import ObjectStore, Stored, StoreLost, StoreRefused
 
@@ -21,9 +27,9 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 _HISTORY_GONE = 410
-_CALL_S = 5.0
-_WATCH_S = 20.0
-_CALL_FAULTS = (ClientError, TimeoutError, ConnectionResetError)
+_HTTP_PORT = 80
+
+_Reply = tuple[int, bytes]
 
 
 class Key(Struct, frozen=True):
@@ -47,12 +53,12 @@
 class PlatformClient(ObjectStore):
     """Call the store; counts its calls in `calls`."""
 
-    def __init__(self, url: str, call_s: float = _CALL_S) -> None:
+    def __init__(self, url: str) -> None:
         """Use the store at `url`."""
         self.calls = 0
-        self._url = url.rstrip('/')
-        self._timeout = ClientTimeout(total=call_s)
-        self._session: ClientSession | None = None
+        parts = urlsplit(url)
+        self._address = (parts.hostname or '', parts.port or _HTTP_PORT)
+        self._idle: list[HttpConnection] = []
         self._seen_by_key: dict[str, int] = {}
 
     async def __aenter__(self) -> Self:
@@ -80,8 +86,8 @@
         seen = max(after, self._seen_by_key.get(key, 0))
         if not seen:
             return await self._read_first(key, place)
-        target = watch_target(place.kind, seen, _WATCH_S)
-        status, answer = await self._call('GET', target, ClientTimeout(total=_WATCH_S + _CALL_S))
+        target = watch_target(place.kind, seen, WATCH_S)
+        status, answer = await self._call('GET', target, within_s=WATCH_S + ANSWER_S)
         if status == _HISTORY_GONE:
             self._seen_by_key.pop(key, None)
             stored = await self._read_first(key, place)
@@ -114,8 +120,9 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
 
     async def _read_first(self, key: str, place: Key) -> Stored | None:
         """Read an object and from which revision it is to be watched."""
@@ -126,37 +133,58 @@
         stored = await self.read(key)
         return stored if stored.version else None
 
-    def _open(self) -> ClientSession:
-        if self._session is None:
-            self._session = ClientSession()
-        return self._session
-
     async def _call(
         self,
         method: str,
         target: str,
-        timeout: ClientTimeout | None = None,
         content: dict[str, Any] | None = None,
+        within_s: float = ANSWER_S,
     ) -> tuple[int, dict[str, Any]]:
         """Return status and content of an answer.  Raises StoreLost."""
         self.calls += 1
+        body = b'' if content is None else encode(content)
+        status, answer = await self._reply(method, target, body, monotonic() + within_s)
+        if status not in {_OK, _CREATED}:
+            return status, {}
+        try:
+            return status, decode(answer, type=dict[str, Any])
+        except DecodeError as fault:
+            raise StoreLost(f'answer from the platform unreadable: {fault}') from fault
+
+    async def _reply(self, method: str, target: str, body: bytes, until: float) -> _Reply:
+        """Make a call on an idle connection or a new one.  Raises StoreLost."""
+        loop = get_running_loop()
+        if self._idle:
+            connection = self._idle.pop()
+        else:
+            connection = HttpConnection(AsyncioLoop(loop), self._address)
+        replied: Future[_Reply] = loop.create_future()
+        call = Call(
+            target,
+            until,
+            lambda status, answer: _settle(replied, (status, answer)),
+            lambda problem: _settle(replied, StoreLost(f'no answer from the platform: {problem}')),
+            method=method,
+            body=body,
+        )
+        connection.ask(call)
         try:
-            async with self._open().request(
-                method,
-                f'{self._url}{target}',
-                json=content,
-                timeout=timeout or self._timeout,
-            ) as reply:
-                return reply.status, await _content(reply)
-        except _CALL_FAULTS as fault:
-            raise StoreLost(f'no answer from the platform: {fault!r}') from fault
-
-
-async def _content(reply: ClientResponse) -> dict[str, Any]:
-    if reply.status not in {_OK, _CREATED}:
-        return {}
-    answer: dict[str, Any] = await reply.json(content_type=None)
-    return answer
+            reply = await replied
+        except CancelledError:
+            connection.close()
+            raise
+        self._idle.append(connection)
+        return reply
+
+
+def _settle(replied: Future[_Reply], outcome: _Reply | StoreLost) -> None:
+    """Give a call its outcome; one that nobody waits for any more is left."""
+    if replied.done():
+        return
+    if isinstance(outcome, StoreLost):
+        replied.set_exception(outcome)
+    else:
+        replied.set_result(outcome)
 
 
 def _stored(status: int, answer: dict[str, Any]) -> Stored:
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -27,7 +27,7 @@
     ViewFailed,
     ViewFetched,
 )
-from bronzekeel.core.routing.follower import ANSWER_S, Collection
+from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.decisions import NoDecisionLog
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.model import FlowPacket
@@ -38,6 +38,7 @@
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Verdict
+from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.replay.routing_store import StoreModel
 from bronzekeel.replay.virtual_time import VirtualTime
 
--- a/tests/test_connection_ids.py
+++ b/tests/test_connection_ids.py
@@ -4,7 +4,8 @@
 
 from bronzekeel.core.routing.events import ChangesRead, StoredObject
 from bronzekeel.core.routing.flows import MOST_AVOID_S
-from bronzekeel.core.routing.follower import ANSWER_S, WATCH_S, Collection
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.store_waits import ANSWER_S, WATCH_S
 from bronzekeel.core.routing.model import UpstreamEntry
 from bronzekeel.core.routing.placement import FAR_LOAD
 from bronzekeel.core.routing.reducer import reduce
--- a/tests/test_fault_pairs.py
+++ b/tests/test_fault_pairs.py
@@ -11,7 +11,8 @@
 from unittest import TestCase
 
 from bronzekeel.core.routing.events import Paused
-from bronzekeel.core.routing.follower import WATCH_S, Collection
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.store_waits import WATCH_S
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.verdicts import Reset
 from bronzekeel.replay.routing_fleet import RoutingFleet
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -19,10 +19,11 @@
     Unreadable,
     ViewFetched,
 )
-from bronzekeel.core.routing.follower import MOST_WAIT_S, MOST_WAIT_UNREAD_S, Collection, Follower
+from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.messages import View
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.stopping import REFUSALS, Stopping
+from bronzekeel.core.store_waits import MOST_WAIT_S, MOST_WAIT_UNREAD_S
 from bronzekeel.entry.loop import PauseDetector
 from tests.routing_cases import (
     PORTAL,
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -4,20 +4,14 @@
 
 from bronzekeel.core.routing.directory import REMEMBERED_S
 from bronzekeel.core.routing.events import ViewFetched
-from bronzekeel.core.routing.follower import (
-    ANSWER_S,
-    NEWS_S,
-    PROVING_WATCH_S,
-    WATCH_S,
-    Collection,
-    Follower,
-)
+from bronzekeel.core.routing.follower import NEWS_S, Collection, Follower
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.peers import FORGET_S, MOST_PEERS, NAMED_S, SEED_S, PeerTable
 from bronzekeel.core.routing.relays import RELAY_S, RELAYS
 from bronzekeel.core.routing.watch_duty import LONE_WATCHERS, WATCHERS
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.sharing import BEHIND_S, view_since
+from bronzekeel.core.store_waits import ANSWER_S, PROVING_WATCH_S, WATCH_S
 from bronzekeel.replay.routing_fleet import RoutingFleet
 from tests.routing_cases import (
     asking,
