Replace watchers of a large data centre as soon as they fall silent

All watchers of a data centre of 29 hosts are killed at once; heartbeats are 1.16 s apart there, and a peer counts as living for four of them. The others would go by an old text for 4.6 s, of 5 s allowed.

Change: for the choice of watchers, and for what a watcher's word is worth, a host counts as silent after one interval and a half, one second at least.

Ruled out: heartbeats more often (7 KB/s a host already); more watchers (the store's price).

Figures: the test (58 hosts, every second one and all watchers killed) fails with four intervals and passes with one and a half.

--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -24,6 +24,10 @@
 #: Intervals of silence after which a peer is not relied on.
 SILENT_INTERVALS = 4
 
+#: Seconds of silence that are no sign of death.  Source: four heartbeats of a small
+#: data centre; three lost in a row are a matter of minutes at one in thirty.
+LEAST_SILENT_S = 1.0
+
 #: Interval in seconds of heartbeats to the seeds of other data centres.  Source:
 #: bytes between data centres are dear, and with 300 hosts each 2 s they were
 #: the largest price; a host that starts asks its seeds at once.
@@ -96,9 +100,12 @@
         near.sort(key=lambda peer: (crc32(peer.address.name.encode()) - mine) % _CRC_RANGE)
         return near[:MOST_PEERS]
 
-    def living(self, now: float) -> list[Peer]:
-        """Return the peers of the own data centre that were heard of late."""
-        silent_s = self.interval_s * SILENT_INTERVALS
+    def living(self, now: float, intervals: float = SILENT_INTERVALS) -> list[Peer]:
+        """Return the peers of the own data centre that were heard within some intervals.
+
+        It is ``LEAST_SILENT_S`` at least.
+        """
+        silent_s = max(self.interval_s * intervals, LEAST_SILENT_S)
         return [
             peer
             for peer in self.by_name.values()
--- a/src/bronzekeel/core/routing/watch_duty.py
+++ b/src/bronzekeel/core/routing/watch_duty.py
@@ -21,6 +21,13 @@
 LONE_WATCHERS = 4
 HOSTS_A_WATCHER = 3
 
+#: Intervals of heartbeats after which a silent host no longer counts as a watcher,
+#: or as one that would become it.  What goes wrong with more: all watchers of a
+#: large data centre are killed at once, and the others go by an old text until they
+#: count as dead.  Source: one heartbeat that is late; a lost one makes a host too
+#: many watch for a moment.
+SILENT_WATCHER_INTERVALS = 1.5
+
 
 def watchers_needed(peers: PeerTable, now: float) -> int:
     """Return how many balancers of the data centre have to watch the store."""
@@ -42,7 +49,7 @@
     working = 0
     working_before = 0
     trying_before = 0
-    for peer in peers.living(now):
+    for peer in peers.living(now, SILENT_WATCHER_INTERVALS):
         heartbeat = peer.heartbeat
         if heartbeat is None or heartbeat.stopping:
             continue
@@ -68,7 +75,7 @@
 ) -> bool:
     """Whether a living watcher knows nothing newer than these revisions."""
     told = False
-    for peer in peers.living(now):
+    for peer in peers.living(now, SILENT_WATCHER_INTERVALS):
         heartbeat = peer.heartbeat
         if heartbeat is None or not heartbeat.direct:
             continue
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -96,6 +96,23 @@
         fleet.run(2)
         self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
 
+    def test_watchers_of_a_large_data_centre_are_replaced_soon(self) -> None:
+        """Symptom: a large data centre goes by an old text for five seconds.
+
+        Sequence: all its watchers, and every second other host, are killed at once
+        as the text changes; the others hear heartbeats a second and more apart.
+        Cause: taking a watcher for dead as late as any other peer.
+        """
+        fleet = fleet_of(29, ('dc-a', 'dc-b'))
+        fleet.run(_SETTLED_S)
+        watching = set(_watching(fleet))
+        for place, name in enumerate(sorted(fleet.node_by_name)):
+            if name in watching or place % 2:
+                fleet.kill(name)
+        newest = put_text(fleet)
+        fleet.run(_TOLD_S)
+        self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
+
     def test_watchers_that_the_store_refuses_are_replaced(self) -> None:
         """Symptom: hosts that reach the store miss a change.
 
