Share out what a data centre is asked for beyond its upstreams

One data centre has 36 percent of the callers and two of seven upstreams, and flows stay at home. And with many balancers a data centre that has lost most of its upstreams sends away too late, since none of them sees more than a few of the requests.

Change: data centres tell each other each second what their callers ask for, by service. One that is asked for more than it tolerates times its share sends the rest elsewhere; which is twice its share and busy upstreams by default, 1.1 times with the new setting weighs = imbalance. Few hosts reckon it, their neighbours take it from them.

--- a/src/bronzekeel/bench/connection_id_path.py
+++ b/src/bronzekeel/bench/connection_id_path.py
@@ -48,7 +48,7 @@
         )
         state.directory.take(entry, 0)
         state.ready = True
-        steering = ConnectionIdSteering(state, LeastBusy('dc-a'), NoDecisionLog())
+        steering = ConnectionIdSteering(state, LeastBusy('dc-a', state.balance), NoDecisionLog())
         self._loop = Loop()
         self._socket = PacketSocket(
             self._loop,
--- a/src/bronzekeel/bench/placement_policies.py
+++ b/src/bronzekeel/bench/placement_policies.py
@@ -1,8 +1,9 @@
 """Give the placement benchmark the policies that were weighed beside the product's."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from random import Random
 
+from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.model import Upstream
 from bronzekeel.core.routing.placement import LeastBusy, Placement
 
@@ -10,12 +11,13 @@
 class RandomNear(Placement):
     """Choose at random among the upstreams of the own data centre, if there are any."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, balance: Balance) -> None:
         """Prefer upstreams of `data_centre`."""
+        super().__init__(data_centre, balance)
         self._data_centre = data_centre
         self._random = Random(data_centre)
 
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return any upstream that takes flows."""
         takers = [upstream for upstream in candidates if upstream.takes_flows(now)]
         near = [upstream for upstream in takers if upstream.entry.data_centre == self._data_centre]
@@ -26,7 +28,7 @@
 class OwnSight(LeastBusy):
     """Choose the least busy upstream by own sight alone."""
 
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return the least busy without what peers tell."""
         listed = list(candidates)
         for upstream in listed:
@@ -37,7 +39,7 @@
 class Summed(LeastBusy):
     """Choose the least busy upstream with all that peers see in progress added up."""
 
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return the least busy by the sum of all sights."""
         listed = list(candidates)
         for upstream in listed:
@@ -48,13 +50,13 @@
 class TwoChoices(LeastBusy):
     """Choose the less busy of two random upstreams of the own data centre."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, balance: Balance) -> None:
         """Prefer upstreams of `data_centre`."""
-        super().__init__(data_centre)
+        super().__init__(data_centre, balance)
         self._near = data_centre
         self._random = Random(data_centre)
 
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return the better of two; other data centres only when the own has none."""
         takers = [upstream for upstream in candidates if upstream.takes_flows(now)]
         near = [upstream for upstream in takers if upstream.entry.data_centre == self._near]
--- /dev/null
+++ b/src/bronzekeel/core/routing/balance.py
@@ -0,0 +1,215 @@
+"""Share out what the callers of one data centre ask beyond its share of the upstreams.
+
+What goes wrong without it: a data centre has lost most of its upstreams, or has more
+callers than others.  Its callers wait while upstreams elsewhere idle, and upstreams
+of one kind, and the firms that they belong to, work unequally.  One notices by the
+requests an upstream gets, compared over data centres.
+
+So data centres tell each other how many requests their callers send for each
+service, and one that is above the mean of all places a share of its new flows
+elsewhere.  What callers ask for does not depend on where it is placed, so the shares do
+not swing.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from bronzekeel.core.routing.directory import Directory
+from bronzekeel.core.routing.messages import FlowShare
+from bronzekeel.core.routing.model import Upstream
+
+
+#: Interval in seconds at which rates and shares are reckoned.
+RECKON_S = 1.0
+
+#: Weight of the newest second in a rate.  Source: five seconds of forty requests a
+#: second are 200, of which chance is seven percent.
+_NEWEST_WEIGHT = 0.2
+
+#: Intervals after which a rate is one to go by.  Source: the newest five make two
+#: thirds of it.
+_SETTLED_INTERVALS = 5
+
+#: Requests a second of a service, in all data centres, below which nothing is shared
+#: out.  Source: with fewer, differences between data centres are chance.
+LEAST_RATE = 20.0
+
+#: Flows of a service after which those placed before count half.
+_REMEMBERED_FLOWS = 100
+
+
+class RateMeter:
+    """Measure the requests a second that pass this balancer, by service."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.by_service: dict[str, float] = {}
+        self._reckoned = 0
+        self._seen_by_number: dict[int, int] = {}
+
+    @property
+    def settled(self) -> bool:
+        """Whether the rates are no longer those of a start.
+
+        What goes wrong without it: all hosts start, traffic comes back to one data
+        centre a second before another, and flows are sent away from the first.
+        """
+        return self._reckoned >= _SETTLED_INTERVALS
+
+    def reckon(self, directory: Directory) -> None:
+        """Take the requests of one more interval."""
+        self._reckoned += 1
+        newest: dict[str, float] = {}
+        seen: dict[int, int] = {}
+        for number, upstream in directory.by_number.items():
+            seen[number] = upstream.requests
+            fresh = upstream.requests - self._seen_by_number.get(number, 0)
+            service = upstream.entry.service
+            newest[service] = newest.get(service, 0) + fresh / RECKON_S
+        self._seen_by_number = seen
+        self.by_service = {
+            service: _smoothed(self.by_service.get(service), rate)
+            for service, rate in newest.items()
+        }
+
+
+class Balance:
+    """Hold which share of a service's new flows goes to which other data centre.
+
+    A data centre keeps `tolerated` times its share of the requests; beyond it flows
+    go elsewhere from when its upstreams had `bearable` requests in progress a slot.
+    """
+
+    def __init__(self) -> None:
+        """Start with all flows at home."""
+        self.tolerated: float = 1
+        self.bearable: float = 0
+        self._strained: set[str] = set()
+        self.meter = RateMeter()
+        self._shares_by_service: dict[str, dict[str, float]] = {}
+        self._placed_by_service: dict[str, dict[str, float]] = {}
+
+    @property
+    def shares(self) -> tuple[FlowShare, ...]:
+        """The shares in force."""
+        return tuple(
+            FlowShare(service, centre, share)
+            for service, share_by_centre in self._shares_by_service.items()
+            for centre, share in share_by_centre.items()
+        )
+
+    def adopt(self, shares: tuple[FlowShare, ...]) -> None:
+        """Put shares in force that were reckoned here or by a neighbour."""
+        self._shares_by_service = {}
+        for share in shares:
+            by_centre = self._shares_by_service.setdefault(share.service, {})
+            by_centre[share.data_centre] = share.share
+
+    def settle(self, shares: tuple[FlowShare, ...], home_loads: Mapping[str, float]) -> None:
+        """Put those of the `shares` in force whose services are strained at home.
+
+        A service is from when its load has reached the bearable one until its callers
+        ask for no more than is tolerated: sharing out takes the load away at once.
+        """
+        above = {share.service for share in shares}
+        self._strained = {
+            service
+            for service in above
+            if service in self._strained or home_loads.get(service, 0) >= self.bearable
+        }
+        self.adopt(tuple(share for share in shares if share.service in self._strained))
+
+    def centre_of_next(self, service: str) -> str | None:
+        """Return the data centre that is to get the next flow, None for the own."""
+        placed = self._placed_by_service.get(service, {})
+        total = sum(placed.values()) + 1
+        for centre, share in self._shares_by_service.get(service, {}).items():
+            if placed.get(centre, 0) < share * total:
+                return centre
+        return None
+
+    def note_placed(self, service: str, centre: str) -> None:
+        """Note where a flow was placed."""
+        placed = self._placed_by_service.setdefault(service, {})
+        placed[centre] = placed.get(centre, 0) + 1
+        if sum(placed.values()) > _REMEMBERED_FLOWS:
+            for name in placed:
+                placed[name] /= 2
+
+
+def reckoned(
+    directory: Directory,
+    home: str,
+    rates_by_centre: Mapping[str, Mapping[str, float]],
+    tolerated: float,
+) -> tuple[FlowShare, ...]:
+    """Return the shares that follow from what the callers of each data centre ask for."""
+    shares: list[FlowShare] = []
+    for service, slots_by_centre in _slots_of(directory.by_name.values()).items():
+        rate_by_centre = {
+            centre: rate_by_service.get(service, 0)
+            for centre, rate_by_service in rates_by_centre.items()
+        }
+        share_by_centre = shares_of(home, slots_by_centre, rate_by_centre, tolerated)
+        for centre, share in share_by_centre.items():
+            shares.append(FlowShare(service, centre, share))
+    return tuple(shares)
+
+
+def loads_at(directory: Directory, home: str) -> dict[str, float]:
+    """Return the requests in progress per slot at the upstreams of a data centre."""
+    busy: dict[str, int] = {}
+    slots: dict[str, int] = {}
+    for upstream in directory.by_name.values():
+        entry = upstream.entry
+        if entry.data_centre != home or not upstream.listed or entry.draining:
+            continue
+        seen = upstream.busy_flows + upstream.busy_elsewhere
+        busy[entry.service] = busy.get(entry.service, 0) + seen
+        slots[entry.service] = slots.get(entry.service, 0) + entry.slots
+    return {service: busy[service] / slots[service] for service in slots}
+
+
+def shares_of(
+    home: str,
+    slots_by_centre: Mapping[str, int],
+    rate_by_centre: Mapping[str, float],
+    tolerated: float,
+) -> dict[str, float]:
+    """Return the share of the flows at `home` that each other data centre gets.
+
+    None while `home` is asked for no more than `tolerated` times its share.  Only
+    data centres of which both rate and slots are known count.
+    """
+    known = [centre for centre in rate_by_centre if slots_by_centre.get(centre)]
+    slots = sum(slots_by_centre[centre] for centre in known)
+    rate = sum(rate_by_centre[centre] for centre in known)
+    if home not in known or rate < LEAST_RATE:
+        return {}
+    mean = rate / slots
+    above = rate_by_centre[home] - mean * slots_by_centre[home]
+    if rate_by_centre[home] <= tolerated * mean * slots_by_centre[home]:
+        return {}
+    below_by_centre = {
+        centre: max(0, mean * slots_by_centre[centre] - rate_by_centre[centre]) for centre in known
+    }
+    share = above / rate_by_centre[home] / sum(below_by_centre.values())
+    return {name: share * below for name, below in below_by_centre.items() if below > 0}
+
+
+def _slots_of(upstreams: Iterable[Upstream]) -> dict[str, dict[str, int]]:
+    """Return the slots of listed upstreams by service and data centre."""
+    slots_by_service: dict[str, dict[str, int]] = {}
+    for upstream in upstreams:
+        entry = upstream.entry
+        if not upstream.listed or entry.draining:
+            continue
+        slots_by_centre = slots_by_service.setdefault(entry.service, {})
+        slots = slots_by_centre.get(entry.data_centre, 0)
+        slots_by_centre[entry.data_centre] = slots + entry.slots
+    return slots_by_service
+
+
+def _smoothed(former: float | None, newest: float) -> float:
+    if former is None:
+        return newest
+    return former + (newest - former) * _NEWEST_WEIGHT
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -204,6 +204,7 @@
             flow.busy = True
             flow.upstream.busy_flows += 1
             flow.upstream.asked += 1
+            flow.upstream.requests += 1
 
     def _mark_idle(self, flow: Flow) -> None:
         self._busy_by_key.pop(flow.key, None)
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -1,8 +1,26 @@
 """Define what balancers tell each other."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 
 
+_NO_RATES: Mapping[str, float] = MappingProxyType({})
+
+
+class FlowShare:
+    """Say which share of a service's new flows another data centre is to get."""
+
+    __slots__ = ('data_centre', 'service', 'share')
+
+    def __init__(self, service: str, data_centre: str, share: float) -> None:
+        """Send `share` of the flows of `service` to `data_centre`."""
+        self.service = service
+        self.data_centre = data_centre
+        self.share = share
+
+
 class PeerAddress:
     """Say where a balancer takes what its peers tell."""
 
@@ -22,7 +40,10 @@
     knows.  `direct` tells that its own watches of the store work, `lost` that
     the store does not answer it.
     `busy_by_number` has the requests in progress that it sees, by the short
-    number of their upstream.  `others` are peers that it knows.
+    number of their upstream.  `rate_by_service` has the requests a second of its
+    callers, or to other data centres those of all its data centre.  `shares` are
+    those that it reckoned, None if it has heard too little from other data centres.
+    `others` are peers that it knows.
     """
 
     __slots__ = (
@@ -30,7 +51,9 @@
         'direct',
         'lost',
         'others',
+        'rate_by_service',
         'sender',
+        'shares',
         'stopping',
         'text_revision',
         'upstreams_revision',
@@ -43,6 +66,8 @@
         upstreams_revision: int,
         busy_by_number: dict[int, int],
         others: tuple[PeerAddress, ...] = (),
+        rate_by_service: Mapping[str, float] = _NO_RATES,
+        shares: tuple[FlowShare, ...] | None = None,
         *,
         direct: bool = False,
         lost: bool = False,
@@ -54,6 +79,8 @@
         self.upstreams_revision = upstreams_revision
         self.busy_by_number = busy_by_number
         self.others = others
+        self.rate_by_service = rate_by_service
+        self.shares = shares
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -6,9 +6,10 @@
 hears from its neighbours before it could find them.
 """
 
+from collections.abc import Mapping
 from zlib import crc32
 
-from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
+from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress
 
 
 #: Least interval in seconds between two heartbeats to the same peer.  Source:
@@ -212,6 +213,26 @@
                 total[number] = total.get(number, 0) + busy
         return total
 
+    def rates_near(self, now: float) -> list[Mapping[str, float]]:
+        """Return the requests a second by service that living neighbours see."""
+        return [
+            peer.heartbeat.rate_by_service
+            for peer in self.living(now)
+            if peer.heartbeat is not None
+        ]
+
+    def shares_near(self, now: float) -> tuple[FlowShare, ...]:
+        """Return the shares that a living neighbour reckoned last, none if nobody did."""
+        newest_at: float = 0
+        shares: tuple[FlowShare, ...] = ()
+        for peer in self.living(now):
+            if peer.heartbeat is None or peer.heartbeat.shares is None:
+                continue
+            if peer.newest_at > newest_at:
+                newest_at = peer.newest_at
+                shares = peer.heartbeat.shares
+        return shares
+
     def _is_near(self, peer: Peer) -> bool:
         return peer.address.data_centre == self.me.data_centre
 
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -1,8 +1,10 @@
 """Choose the upstream of a new flow."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import ClassVar
 
+from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.model import Upstream
 
 
@@ -22,8 +24,11 @@
 class Placement(ABC):
     """Choose among upstreams; every policy answers one load pattern."""
 
+    def __init__(self, data_centre: str, balance: Balance) -> None:
+        """Choose for a balancer in `data_centre`; `balance` says what others ask for."""
+
     @abstractmethod
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return the upstream for a new flow, None if none may get it."""
 
 
@@ -42,34 +47,76 @@
     and 1.08 times the mean; with open flows as a part of load it was 1.12 and 1.26 (four).
     """
 
-    def __init__(self, data_centre: str) -> None:
-        """Prefer upstreams of `data_centre`."""
+    #: How many times its share of the requests a data centre keeps before it sends the
+    #: rest elsewhere.  Source: twice as much makes callers wait where upstreams are
+    #: half busy; less is no reason to cross data centres.
+    tolerated: ClassVar[float] = 2.0
+
+    #: Requests in progress a slot from which it does so.  Source: below it hardly a
+    #: caller waits, and crossing data centres costs more than it brings.
+    bearable: ClassVar[float] = 0.8
+
+    def __init__(self, data_centre: str, balance: Balance) -> None:
+        """Prefer upstreams of `data_centre`, but for the flows that `balance` sends away."""
+        super().__init__(data_centre, balance)
         self._data_centre = data_centre
+        self._balance = balance
+        balance.tolerated = self.tolerated
+        balance.bearable = self.bearable
+
+    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
+        """Return the upstream with the least load in the data centre whose turn it is."""
+        if not candidates:
+            return None
+        service = candidates[0].entry.service
+        centre = self._balance.centre_of_next(service)
+        best = self._least_busy(candidates, now, centre or self._data_centre)
+        if best is not None:
+            self._balance.note_placed(service, best.entry.data_centre)
+        return best
 
-    def choose(self, candidates: Iterable[Upstream], now: float) -> Upstream | None:
-        """Return the upstream with the least load among the nearest that answer."""
+    def _least_busy(
+        self,
+        candidates: Sequence[Upstream],
+        now: float,
+        near: str,
+    ) -> Upstream | None:
         best: Upstream | None = None
         best_rank: tuple[float, ...] = ()
         for upstream in candidates:
             if not upstream.takes_flows(now):
                 continue
-            rank = (*self._reluctance(upstream, now), upstream.asked)
+            rank = (*_reluctance(upstream, now, near), upstream.asked)
             if best is None or rank < best_rank:
                 best = upstream
                 best_rank = rank
         return best
 
-    def _reluctance(self, upstream: Upstream, now: float) -> tuple[float, ...]:
-        """Rank an upstream; smaller is better.
-
-        One that does not answer comes after all others of any data centre, and
-        is still better than nobody.
-        """
-        silent = now < upstream.avoided_until
-        load = load_of(upstream, now)
-        if upstream.entry.data_centre != self._data_centre:
-            load += FAR_LOAD
-        return (silent, upstream.missing_at is not None, load)
+
+class EqualWork(LeastBusy):
+    """Give equal upstreams of different data centres equal work.
+
+    Load pattern: callers are not where upstreams are.  Chosen by the setting `weighs`:
+    it costs bytes between data centres, and the flows that a cut between them breaks
+    (docs/DESIGN.md, "Equal work").
+    """
+
+    #: Source: the users' bound on the busiest upstream's work.
+    tolerated = 1.1
+    bearable = 0
+
+
+def _reluctance(upstream: Upstream, now: float, near: str) -> tuple[float, ...]:
+    """Rank an upstream for a flow that is to go to the data centre `near`.
+
+    Smaller is better.  One that does not answer comes after all others of any data
+    centre, and is still better than nobody.
+    """
+    silent = now < upstream.avoided_until
+    load = load_of(upstream, now)
+    if upstream.entry.data_centre != near:
+        load += FAR_LOAD
+    return (silent, upstream.missing_at is not None, load)
 
 
 def load_of(upstream: Upstream, now: float) -> float:
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -37,6 +37,7 @@
     is_long_behind,
     on_heartbeat,
     note_refusal,
+    reckon_balance,
     take_view,
     announce_change,
 )
@@ -238,6 +239,7 @@
         state.directory.forget_old(now)
     state.peers.forget_silent(now)
     note_busy_elsewhere(state.directory, state.peers.busy_elsewhere(now))
+    reckon_balance(state, now)
     effects = _follow_on(state, now)
     effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
--- a/src/bronzekeel/core/routing/relays.py
+++ b/src/bronzekeel/core/routing/relays.py
@@ -5,6 +5,7 @@
 are, so a data centre whose watchers are all deaf hears of it.
 """
 
+from collections.abc import Mapping
 from zlib import crc32
 
 from bronzekeel.core.routing.messages import PeerAddress
@@ -61,6 +62,19 @@
                     return peer.address
         return None
 
+    def rates_elsewhere(self, now: float) -> dict[str, Mapping[str, float]]:
+        """Return what the callers of other data centres ask for, as told last.
+
+        Requests a second by service, by data centre.
+        """
+        rates_by_centre: dict[str, Mapping[str, float]] = {}
+        for centre, peers in self._peers.elsewhere_by_centre().items():
+            fresh = [peer for peer in peers if peer.heartbeat and _is_fresh(peer, now)]
+            fresh.sort(key=lambda peer: peer.newest_at)
+            if fresh and fresh[-1].heartbeat is not None:
+                rates_by_centre[centre] = fresh[-1].heartbeat.rate_by_service
+        return rates_by_centre
+
     def _told_of(self, peers: list[Peer], now: float) -> list[tuple[str, int]]:
         """Return whom of one data centre to tell: those heard first, all others in turn."""
         self._turn += 1
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -1,5 +1,6 @@
 """Hold the whole state of a balancer that steers by connection ids."""
 
+from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.flows import FlowTable
 from bronzekeel.core.routing.follower import Collection, Follower
@@ -15,10 +16,13 @@
 
     A view that was asked of a peer is awaited until `fetch_until`; a peer was
     heard to know more than this balancer does at `behind_since`, and one of another
-    data centre at `told_elsewhere_at`; None when none does.
+    data centre at `told_elsewhere_at`; None when none does.  Shares of flows are
+    settled at `reckon_at`; this balancer `reckons` them itself when other data centres
+    tell it what their callers ask for.
     """
 
     __slots__ = (
+        'balance',
         'behind_since',
         'directory',
         'fetch_until',
@@ -27,6 +31,8 @@
         'forget_at',
         'peers',
         'ready',
+        'reckon_at',
+        'reckons',
         'relays',
         'stopping',
         'text',
@@ -40,6 +46,9 @@
         self.text: RoutingText | None = None
         self.directory = Directory()
         self.flows = FlowTable()
+        self.balance = Balance()
+        self.reckon_at: float = 0
+        self.reckons = False
         self.follower_by_collection = {
             collection: Follower(collection, peers.me.name) for collection in Collection
         }
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -1,12 +1,12 @@
 """Wire sockets and decisions into one running balancer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from gc import enable, freeze
 from os import stat
 from signal import SIGHUP, SIGINT, SIGTERM, signal
 from socket import socket
 from time import monotonic, process_time
-from types import FrameType
+from types import FrameType, MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import (
@@ -31,7 +31,7 @@
 )
 from bronzekeel.core.routing.messages import PeerAddress, View
 from bronzekeel.core.routing.peers import PeerTable
-from bronzekeel.core.routing.placement import LeastBusy
+from bronzekeel.core.routing.placement import EqualWork, LeastBusy, Placement
 from bronzekeel.core.routing.reducer import TICK_S, reduce
 from bronzekeel.core.routing.sharing import view_since
 from bronzekeel.core.routing.state import RoutingState
@@ -47,12 +47,22 @@
 from bronzekeel.entry.packets import PacketSocket
 from bronzekeel.entry.peers import PeerSockets
 from bronzekeel.entry.ports import PacketFormat, StoreCalls
-from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
+from bronzekeel.entry.settings import (
+    BROKEN_FLOWS,
+    IMBALANCE,
+    EntrySettings,
+    SettingsError,
+    read_entry_settings,
+)
 
 
 _STDOUT = 1
 _METRICS_PATH = '/metrics'
 
+_PLACEMENT_BY_WEIGHS: Mapping[str, type[Placement]] = MappingProxyType(
+    {BROKEN_FLOWS: LeastBusy, IMBALANCE: EqualWork},
+)
+
 #: Ticks between two looks at whether the settings file has changed.
 _SETTINGS_TICKS = 10
 
@@ -80,7 +90,7 @@
         self._lines = LineLog(settings.name, stream)
         steering = ConnectionIdSteering(
             self.state,
-            LeastBusy(settings.data_centre),
+            _PLACEMENT_BY_WEIGHS[settings.weighs](settings.data_centre, self.state.balance),
             LineDecisionLog(self._lines, self.state),
         )
         self.packets = PacketSocket(
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -9,7 +9,13 @@
 from typing import Any
 
 from bronzekeel.core.routing.connection_ids import seal_of
-from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, PeerAddress, View
+from bronzekeel.core.routing.messages import (
+    FlowShare,
+    Heartbeat,
+    MissingEntry,
+    PeerAddress,
+    View,
+)
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
 
 
@@ -36,6 +42,10 @@
             'upstreams': heartbeat.upstreams_revision,
             'busy': list(heartbeat.busy_by_number.items()),
             'others': [_peer_out(other) for other in heartbeat.others],
+            'shares': None if heartbeat.shares is None else _shares_out(heartbeat.shares),
+            'rates': [
+                (service, round(rate)) for service, rate in heartbeat.rate_by_service.items()
+            ],
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
         },
     )
@@ -52,6 +62,8 @@
             int(fields['upstreams']),
             {int(number): int(busy) for number, busy in fields['busy']},
             tuple(_peer_in(other) for other in fields['others']),
+            {str(service): float(rate) for service, rate in fields['rates']},
+            None if fields['shares'] is None else _shares_in(fields['shares']),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -105,6 +117,17 @@
     return PeerAddress(str(name), str(data_centre), (str(host), int(port)))
 
 
+def _shares_out(shares: tuple[FlowShare, ...]) -> list[tuple[str, str, float]]:
+    return [(share.service, share.data_centre, round(share.share, 3)) for share in shares]
+
+
+def _shares_in(fields: list[Any]) -> tuple[FlowShare, ...]:
+    return tuple(
+        FlowShare(str(service), str(data_centre), float(share))
+        for service, data_centre, share in fields
+    )
+
+
 def _text_out(text: RoutingText) -> dict[str, Any]:
     """Return a text with its routes grouped by where they lead.
 
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -12,6 +12,10 @@
 #: Value of the setting `steering` that chooses this daemon.
 STEERING = 'connection_ids'
 
+#: Values of the setting `weighs`: few broken flows, or equal work for equal upstreams.
+BROKEN_FLOWS = 'broken_flows'
+IMBALANCE = 'imbalance'
+
 _MOST_PORT = 65535
 _MOST_STOP_S = 3600
 _OCTETS = 4
@@ -27,7 +31,7 @@
 
     `packets`, `peers`, `readiness` and `store` are addresses; `seeds` are
     those of some peers.  `readiness_path` is what the fabric's probes ask for;
-    `stop_within_s` bounds a planned stop.
+    `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
     """
 
     __slots__ = (
@@ -40,6 +44,7 @@
         'seeds',
         'stop_within_s',
         'store',
+        'weighs',
     )
 
     def __init__(self, fields: Mapping[str, object]) -> None:
@@ -53,6 +58,7 @@
         self.readiness_path = _text(fields, 'readiness_path')
         self.store = _address(fields, 'store')
         self.stop_within_s = _seconds(fields, 'stop_within_s')
+        self.weighs = _one_of(fields, 'weighs', (BROKEN_FLOWS, IMBALANCE))
         if fields.get('steering') != STEERING:
             raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
 
@@ -89,6 +95,15 @@
     return found
 
 
+def _one_of(fields: Mapping[str, object], name: str, known: tuple[str, ...]) -> str:
+    """Return a text that is one of `known`; the first when there is none."""
+    found = fields.get(name, known[0])
+    if not isinstance(found, str) or found not in known:
+        choices = ' or '.join(known)
+        raise SettingsError(f'$.{name}: {found!r} is not {choices}')
+    return found
+
+
 def _addresses(fields: Mapping[str, object], name: str) -> tuple[tuple[str, int], ...]:
     listed = fields.get(name)
     if not isinstance(listed, list):
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -143,11 +143,20 @@
         self,
         hosts: int,
         servers: int,
-        placement_of: Callable[[str], Placement],
+        placement_of: type[Placement],
         seed: int,
+        weights: tuple[int, ...] = (1, 1, 1),
     ) -> None:
-        """Set up three data centres of `hosts` balancers and `servers` upstreams each."""
+        """Set up three data centres of `hosts` balancers and `servers` upstreams each.
+
+        Callers are in them by their `weights`.
+        """
         self.centres = ('dc-a', 'dc-b', 'dc-c')
+        self._centre_by_weight = [
+            centre
+            for centre, weight in zip(self.centres, weights, strict=True)
+            for _ in range(weight)
+        ]
         names = {
             centre: tuple(f'{centre}-{place}' for place in range(hosts)) for centre in self.centres
         }
@@ -192,18 +201,20 @@
         """Let single requests arrive at random, ``rate_of`` a second, for some time."""
         at_s = self.fleet.random.expovariate(rate_of(0))
         while at_s < lasting_s:
-            centre = self.fleet.random.choice(self.centres)
-            self.fleet.at(at_s, partial(self._begin, centre, None, lambda flow: None))
+            self.fleet.at(at_s, partial(self._begin, self._any_centre(), None, lambda flow: None))
             at_s += self.fleet.random.expovariate(rate_of(at_s))
 
     def hold_flows(self, users: int, lasting_s: float) -> None:
         """Let users send request after request on long flows, for some time."""
         until = self.fleet.now + lasting_s
         for number in range(users):
-            centre = self.centres[number % len(self.centres)]
+            centre = self._centre_by_weight[number % len(self._centre_by_weight)]
             delay_s = self.fleet.random.uniform(0, _PAUSE_S)
             self.fleet.at(delay_s, partial(self._ask_on, centre, None, _FLOW_REQUESTS, until))
 
+    def _any_centre(self) -> str:
+        return self.fleet.random.choice(self._centre_by_weight)
+
     def _put(
         self,
         server: Server,
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -89,7 +89,7 @@
         self,
         names_by_centre: dict[str, tuple[str, ...]],
         seed: int = 1,
-        placement_of: Callable[[str], Placement] = LeastBusy,
+        placement_of: type[Placement] = LeastBusy,
     ) -> None:
         """Set up balancers by data centre; ``start`` starts them.
 
@@ -172,7 +172,7 @@
         return RoutingState(PeerTable(peer, self._seeds), _STOP_S)
 
     def _steering(self, state: RoutingState) -> ConnectionIdSteering:
-        placement = self._placement_of(state.peers.me.data_centre)
+        placement = self._placement_of(state.peers.me.data_centre, state.balance)
         return ConnectionIdSteering(state, placement, NoDecisionLog())
 
     def _start(self, node: RoutingNode) -> None:
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -396,6 +396,8 @@
             ('stop_within_s', True),
             ('name', ''),
             ('steering', 'keepers'),
+            ('weighs', 'speed'),
+            ('weighs', None),
             ('readiness_path', None),
         )
         for name, found in wrong:
