Run modules of tests in processes of their own; remove fields that nothing uses

When a test of processes failed, its balancers lived on and held the output that the runner reads: the first parallel run stood still for ten minutes at tests.test_processes.

Change: four processes at a time; a module that ends without its counts has failed once. The test ends its processes however it ends. FlowPacket.resets and a reason that nothing gives are gone.

Ruled out: nose2's own processes (one that dies is not counted).

What made that one test fail in that run is not known: its output was lost with the run.

--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -187,7 +187,6 @@
         'opens',
         'payload_bytes',
         'raw',
-        'resets',
         'route',
         'sequence',
     )
@@ -204,7 +203,6 @@
         *,
         opens: bool = False,
         closes: bool = False,
-        resets: bool = False,
         copy: int = 0,
     ) -> None:
         """Keep the fields as they were decoded."""
@@ -217,7 +215,6 @@
         self.raw = raw
         self.opens = opens
         self.closes = closes
-        self.resets = resets
         self.copy = copy
 
 
--- a/src/bronzekeel/core/routing/verdicts.py
+++ b/src/bronzekeel/core/routing/verdicts.py
@@ -15,7 +15,6 @@
     NO_CONNECTION_ID = 'no_connection_id'
     UNKNOWN_CONNECTION_ID = 'unknown_connection_id'
     UPSTREAM_GONE = 'upstream_gone'
-    NOT_FROM_CALLER = 'not_from_caller'
 
 
 class Deliver:
--- a/src/bronzekeel/platform/packets.py
+++ b/src/bronzekeel/platform/packets.py
@@ -65,7 +65,6 @@
             raw,
             opens=bool(flags & _SYN),
             closes=bool(flags & _FIN),
-            resets=bool(flags & _RST),
             # On an opening packet the acknowledgement field counts its repeats.
             copy=acknowledged if flags & _SYN else 0,
         )
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,20 +1,39 @@
 """Run all tests with nose2 and close with one line of counts.
 
-Tests that stand in KNOWN-RED.txt, a line each with test, cause and issue, may
-fail: they are printed and not counted.  One of them that passes is counted as
-a failure, so that its line is taken out.
+Each module of tests has a process of its own, a few at a time; named modules run
+here, one after the other.  Tests that stand in KNOWN-RED.txt, a line each with test,
+cause and issue, may fail: they are printed and not counted.  One of them that passes
+is counted as a failure, so that its line is taken out.
 """
 
+import re
 import sys
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from enum import StrEnum
 from pathlib import Path
-from typing import Any
+from subprocess import PIPE, STDOUT
+from subprocess import run as run_process
+from typing import Any, NamedTuple
 
 from nose2.events import Plugin
 from nose2.main import PluggableTestProgram
 
 
-_KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
+_TESTS = Path(__file__).parent
+_KNOWN_RED = _TESTS.parent / 'KNOWN-RED.txt'
+_CLOSING = re.compile(r'^(\d+) passed, (\d+) failed$', re.MULTILINE)
+
+#: Modules of tests that run at a time.  Source: the machines that tests are run on
+#: have four cores at least.
+PROCESSES = 4
+
+
+class Counts(NamedTuple):
+    """Hold how many tests passed and failed."""
+
+    passed: int
+    failed: int
 
 
 def known_red(content: str) -> dict[str, str]:
@@ -70,16 +89,63 @@
             CountOutcomes.failed += 1
 
 
-def main() -> int:
-    """Return zero when every test passed."""
+def run_here(names: Sequence[str]) -> Counts:
+    """Run the named tests in this process."""
     PluggableTestProgram(
-        argv=['nose2', '-s', 'tests', '-t', '.', *sys.argv[1:]],
+        argv=['nose2', '-s', 'tests', '-t', '.', *names],
         plugins=['tests.run'],
         module=None,
         exit=False,
     )
     counts = sys.modules['tests.run'].CountOutcomes
     sys.stderr.flush()
+    return Counts(counts.passed, counts.failed)
+
+
+def counts_of(written: str, code: int) -> Counts:
+    """Return what a module's process counted.
+
+    One that ended in any other way than by its closing line, or without a test, has
+    failed once: a module that cannot be imported or dies must not pass.
+    """
+    found = _CLOSING.findall(written)
+    if not found:
+        return Counts(0, 1)
+    counts = Counts(int(found[-1][0]), int(found[-1][1]))
+    if code and not counts.failed:
+        return Counts(counts.passed, 1)
+    return counts
+
+
+def run_module(name: str) -> Counts:
+    """Run one module of tests in a process of its own, and show what it wrote."""
+    done = run_process(
+        (sys.executable, '-m', 'tests.run', name),
+        stdout=PIPE,
+        stderr=STDOUT,
+        check=False,
+    )
+    written = done.stdout.decode(errors='replace')
+    sys.stdout.write(f'{name}\n{written}')
+    sys.stdout.flush()
+    return counts_of(written, done.returncode)
+
+
+def run_all() -> Counts:
+    """Run all modules of tests, ``PROCESSES`` at a time."""
+    modules = sorted(f'tests.{path.stem}' for path in _TESTS.glob('test_*.py'))
+    with ThreadPoolExecutor(PROCESSES) as pool:
+        counts = list(pool.map(run_module, modules))
+    return Counts(
+        sum(count.passed for count in counts),
+        sum(count.failed for count in counts),
+    )
+
+
+def main() -> int:
+    """Return zero when every test passed."""
+    names = sys.argv[1:]
+    counts = run_here(names) if names else run_all()
     sys.stdout.write(f'{counts.passed} passed, {counts.failed} failed\n')
     return int(counts.failed > 0 or not counts.passed)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_subprocess_exec, run, sleep
 from asyncio.subprocess import PIPE, Process
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -81,6 +82,11 @@
             run(self._play(Fleet(Site(Random(1)), Path(folder))))
 
     async def _play(self, fleet: Fleet) -> None:
+        async with AsyncExitStack() as ending:
+            ending.push_async_callback(fleet.end)
+            await self._outlive(fleet)
+
+    async def _outlive(self, fleet: Fleet) -> None:
         site = fleet.site
         await fleet.open()
         flows = [site.fabric.add_flow(('198.51.100.10', 443), number) for number in range(100)]
@@ -98,7 +104,6 @@
         told = await site.caller.request('b2', REPLIES, b'after all')
         self.assertEqual('answered', told.outcome)
         self.assertEqual(0, sum(flow.reset for flow in flows))
-        await fleet.end()
 
     async def _step_until_answered(self, fleet: Fleet, flows: list[ClientFlow]) -> None:
         """Send packets of all flows until each has been answered once more."""
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 from unittest import TestCase
 
-from tests.run import Verdict, known_red, verdict_on
+from tests.run import Counts, Verdict, counts_of, known_red, verdict_on
 
 
 class CountTest(TestCase):
@@ -43,3 +43,15 @@
         """The first word of a line, up to the comma, is the test's id."""
         lines = known_red('tests.a.B.test_c, slow link, issue 9\n\n')
         self.assertEqual({'tests.a.B.test_c': 'tests.a.B.test_c, slow link, issue 9'}, lines)
+
+    def test_a_module_that_ends_without_counts_has_failed(self) -> None:
+        """Symptom: a run is green though a module was not run.
+
+        Sequence: a module can't be imported, or its process is killed.
+        Cause: adding up only what was counted.
+        """
+        self.assertEqual(Counts(0, 1), counts_of('Segmentation fault\n', -11))
+        self.assertEqual(Counts(0, 1), counts_of('', 0))
+        self.assertEqual(Counts(3, 1), counts_of('3 passed, 0 failed\n', -9))
+        self.assertEqual(Counts(2, 1), counts_of('OK\n2 passed, 1 failed\n', 1))
+        self.assertEqual(Counts(3, 0), counts_of('1 passed, 0 failed\n3 passed, 0 failed\n', 0))
