Wait for log lines, and not only for what they tell of

Cause: test_a_flow_is_opened_while_the_store_goes_and_comes failed in two of four runs of make test with four processes. It waits for what the balancer believes, then reads the log; lines are written at the next tick, a tenth of a second later.

Change: the test waits, with patience, until the lines it expects are there.

--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -3,8 +3,9 @@
 from asyncio import run, sleep
 from asyncio import to_thread as in_thread
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from json import loads as decode_json
-from os import pipe
+from os import pipe, set_blocking
 from os import read as read_bytes
 from socket import AF_INET, SOCK_DGRAM, socket
 from tempfile import TemporaryDirectory
@@ -105,10 +106,22 @@
         """Return the next datagram that arrives at a socket."""
         return await in_thread(sock.recv, 4096)
 
-    def lines(self) -> list[dict[str, Any]]:
-        """Return the log lines written so far."""
-        written = read_bytes(self.reading, MOST_WAITING_BYTES)
-        return [decode_json(line) for line in written.splitlines()]
+    async def wait_for_events(self, expected: set[int]) -> None:
+        """Wait until the log has a line of each of these events.
+
+        What a balancer believes shows a tick before the lines about it are written.
+        """
+        set_blocking(self.reading, False)
+        written = bytearray()
+
+        def is_written() -> bool:  # noqa: WPS430 (gathers what was read)
+            with suppress(BlockingIOError):
+                written.extend(read_bytes(self.reading, MOST_WAITING_BYTES))
+            whole = written[: written.rfind(b'\n') + 1]
+            events = {decode_json(line)['event'] for line in whole.splitlines()}
+            return expected <= events
+
+        await until(is_written)
 
     async def __aenter__(self) -> Self:
         """Start the store."""
@@ -219,15 +232,15 @@
         around.put_text(2)
         await around.store.switch(down=False)
         await until(lambda: balancer.state.text is not None and balancer.state.text.generation == 2)
-        events = {line['event'] for line in around.lines()}
-        expected = {
-            LogNumber.STARTED,
-            LogNumber.READY,
-            LogNumber.FLOW_PLACED,
-            LogNumber.PLATFORM_LOST,
-            LogNumber.PLATFORM_BACK,
-        }
-        self.assertLessEqual(expected, events)
+        await around.wait_for_events(
+            {
+                LogNumber.STARTED,
+                LogNumber.READY,
+                LogNumber.FLOW_PLACED,
+                LogNumber.PLATFORM_LOST,
+                LogNumber.PLATFORM_BACK,
+            },
+        )
 
     async def _start_in_the_dark(self, around: Around) -> None:
         around.put_upstream()
