--- a/src/bronzekeel/bench/views.py
+++ b/src/bronzekeel/bench/views.py
@@ -11,8 +11,9 @@
 from bronzekeel.core.routing.connection_ids import seal_of
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.flows import FlowTable
-from bronzekeel.core.routing.messages import Heartbeat, PeerAddress, View
+from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress, View
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, Upstream, UpstreamEntry
+from bronzekeel.core.routing.sharing import MOST_RATES
 from bronzekeel.entry.peer_messages import (
     decode_heartbeat,
     decode_view,
@@ -105,7 +106,9 @@
 def _heartbeat() -> Heartbeat:
     peers = [PeerAddress(f'edge-{place}', 'dc-a', ('10.0.0.1', 8166)) for place in range(_OTHERS)]
     loads = {number << 20: 3 for number in range(1, _LOADS + 1)}
-    return Heartbeat(peers[0], _MICRO, _MICRO, loads, tuple(peers))
+    rates = {f'service-{place}': float(_MICRO) for place in range(MOST_RATES)}
+    shares = tuple(FlowShare(service, 'dc-b', 0.125) for service in rates)
+    return Heartbeat(peers[0], _MICRO, _MICRO, loads, tuple(peers), rates, shares)
 
 
 def _view(size: int) -> View:
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -18,8 +18,8 @@
 HEARTBEAT_S = 0.25
 
 #: Seconds of heartbeats that one peer more adds to the interval, so that a
-#: host sends at most 25 a second.  Source: at 283 bytes each, with eight peers
-#: and no load, this is 7 KB/s; docs/CAPACITY.md allows 6 and says what follows.
+#: host sends at most 25 a second.  Source: at 386 bytes each, six peers named and
+#: no load, this is 10 KB/s; docs/CAPACITY.md allows 6 and says what follows.
 _SPACING_S = 0.04
 
 #: Intervals of silence after which a peer is not relied on.
