Compose heartbeats and settle balance in modules of their own; state the demo's p99

Cause: reading the change again: sharing had grown to three jobs.

Change: core/routing/heartbeats.py and balancing.py; text_in_force_p99_s beside the list.

Conclusion: kept.

--- a/src/bronzekeel/bench/views.py
+++ b/src/bronzekeel/bench/views.py
@@ -13,7 +13,7 @@
 from bronzekeel.core.routing.flows import FlowTable
 from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress, View
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, Upstream, UpstreamEntry
-from bronzekeel.core.routing.sharing import MOST_RATES
+from bronzekeel.core.routing.heartbeats import MOST_RATES
 from bronzekeel.entry.peer_messages import (
     decode_heartbeat,
     decode_view,
--- /dev/null
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -0,0 +1,34 @@
+"""Settle where the flows of a data centre go, from what balancers tell each other."""
+
+from bronzekeel.core.routing.balance import RECKON_S, loads_at, reckoned
+from bronzekeel.core.routing.state import RoutingState
+
+
+def reckon_balance(state: RoutingState, now: float) -> None:
+    """Settle once in ``RECKON_S`` where the flows of this data centre are to go.
+
+    The few hosts that other data centres tell reckon it; the others take it from them.
+    """
+    if now < state.reckon_at:
+        return
+    state.reckon_at = now + RECKON_S
+    state.balance.meter.reckon(state.directory)
+    rates_by_centre = state.relays.rates_elsewhere(now)
+    state.reckons = bool(rates_by_centre) and state.balance.meter.settled
+    if not state.reckons:
+        state.balance.adopt(state.peers.shares_near(now))
+        return
+    home = state.peers.me.data_centre
+    rates_by_centre[home] = rates_of_centre(state, now)
+    tolerated = state.balance.tolerated
+    shares = reckoned(state.directory, home, rates_by_centre, tolerated)
+    state.balance.settle(shares, loads_at(state.directory, home))
+
+
+def rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
+    """Return the requests a second of all callers of this data centre, by service."""
+    total = dict(state.balance.meter.by_service)
+    for rate_by_service in state.peers.rates_near(now):
+        for service, rate in rate_by_service.items():
+            total[service] = total.get(service, 0) + rate
+    return total
--- /dev/null
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -0,0 +1,76 @@
+"""Compose what a balancer tells each of its peers."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from bronzekeel.core.routing.balancing import rates_of_centre
+from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
+from bronzekeel.core.routing.state import RoutingState
+
+
+#: Upstreams whose load a heartbeat tells at most, the busiest first.
+MOST_LOADS = 24
+
+#: Services whose requests a heartbeat tells at most, the most asked first.  Source: at
+#: 15 bytes each, half of what its sender's name and flags take.
+MOST_RATES = 8
+
+KeyT = TypeVar('KeyT')
+FigureT = TypeVar('FigureT', int, float)
+
+
+def answer_to(state: RoutingState, peer: PeerAddress, now: float) -> Heartbeat:
+    """Return the heartbeat that answers a peer's; it names hosts near to that."""
+    if peer.data_centre == state.peers.me.data_centre:
+        return near_heartbeat(state, now)
+    return far_heartbeat(state, state.peers.some_others(peer.data_centre, now), now)
+
+
+def far_heartbeat(
+    state: RoutingState,
+    others: tuple[PeerAddress, ...],
+    now: float,
+) -> Heartbeat:
+    """Return what hosts of other data centres need.
+
+    Who this is, how new its views are, and what its data centre's callers ask for.
+    """
+    return Heartbeat(
+        state.peers.me,
+        state.text_revision,
+        state.directory.newest_revision,
+        {},
+        others,
+        _largest(rates_of_centre(state, now), MOST_RATES),
+        direct=state.is_direct(now),
+        lost=state.is_lost,
+        stopping=state.stopping.asked,
+    )
+
+
+def near_heartbeat(state: RoutingState, now: float) -> Heartbeat:
+    """Return all that a neighbour may use."""
+    busy_by_number = {
+        number: upstream.busy_flows
+        for number, upstream in state.directory.by_number.items()
+        if upstream.busy_flows
+    }
+    return Heartbeat(
+        state.peers.me,
+        state.text_revision,
+        state.directory.newest_revision,
+        _largest(busy_by_number, MOST_LOADS),
+        state.peers.some_others(state.peers.me.data_centre, now),
+        _largest(state.balance.meter.by_service, MOST_RATES),
+        state.balance.shares if state.reckons else None,
+        direct=state.is_direct(now),
+        lost=state.is_lost,
+        stopping=state.stopping.asked,
+    )
+
+
+def _largest(by_key: Mapping[KeyT, FigureT], most: int) -> dict[KeyT, FigureT]:
+    """Return the entries with the largest figures, `most` at most."""
+    if len(by_key) <= most:
+        return dict(by_key)
+    return dict(sorted(by_key.items(), key=lambda entry: -entry[1])[:most])
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.balancing import reckon_balance
 from bronzekeel.core.routing.effects import DropWaiting, Effect, End, WriteLine
 from bronzekeel.core.routing.events import (
     CallFailed,
@@ -37,7 +38,6 @@
     is_long_behind,
     on_heartbeat,
     note_refusal,
-    reckon_balance,
     take_view,
     announce_change,
 )
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -8,14 +8,11 @@
 what is older than what is known is left out, so nobody is taken back.
 """
 
-from collections.abc import Mapping
-from typing import TypeVar
-
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.balance import RECKON_S, loads_at, reckoned
 from bronzekeel.core.routing.effects import Effect, FetchView, SendHeartbeat, WriteLine
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
 from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.state import RoutingState
@@ -35,27 +32,17 @@
 #: store is sixty times slower than its usual 4 ms; twice that.
 PATIENCE_S = 0.5
 
-#: Upstreams whose load a heartbeat tells at most, the busiest first.
-MOST_LOADS = 24
-
-#: Services whose requests a heartbeat tells at most, the most asked first.  Source: at
-#: 15 bytes each, half of what its sender's name and flags take.
-MOST_RATES = 8
-
-KeyT = TypeVar('KeyT')
-FigureT = TypeVar('FigureT', int, float)
-
 
 def beat(state: RoutingState, now: float) -> list[Effect]:
     """Send the heartbeats that are due."""
     effects: list[Effect] = []
     near = state.peers.due_neighbours(now)
     if near:
-        effects.append(SendHeartbeat(_near_heartbeat(state, now), near))
+        effects.append(SendHeartbeat(near_heartbeat(state, now), near))
     far = state.peers.due_seeds(now, ready=state.ready)
     far.extend(state.relays.due(now, direct=state.is_direct(now)))
     if far:
-        effects.append(SendHeartbeat(_far_heartbeat(state, (), now), far))
+        effects.append(SendHeartbeat(far_heartbeat(state, (), now), far))
     return effects
 
 
@@ -80,7 +67,7 @@
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_revision and not heartbeat.text_revision):
-        effects.append(SendHeartbeat(_answer_to(state, sender, now), [sender.address]))
+        effects.append(SendHeartbeat(answer_to(state, sender, now), [sender.address]))
     if not _knows_more(state, heartbeat):
         return effects
     if state.behind_since is None:
@@ -197,36 +184,6 @@
     )
 
 
-def reckon_balance(state: RoutingState, now: float) -> None:
-    """Settle once in ``RECKON_S`` where the flows of this data centre are to go.
-
-    The few hosts that other data centres tell reckon it; the others take it from them.
-    """
-    if now < state.reckon_at:
-        return
-    state.reckon_at = now + RECKON_S
-    state.balance.meter.reckon(state.directory)
-    rates_by_centre = state.relays.rates_elsewhere(now)
-    state.reckons = bool(rates_by_centre) and state.balance.meter.settled
-    if not state.reckons:
-        state.balance.adopt(state.peers.shares_near(now))
-        return
-    home = state.peers.me.data_centre
-    rates_by_centre[home] = _rates_of_centre(state, now)
-    tolerated = state.balance.tolerated
-    shares = reckoned(state.directory, home, rates_by_centre, tolerated)
-    state.balance.settle(shares, loads_at(state.directory, home))
-
-
-def _rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
-    """Return the requests a second of all callers of this data centre, by service."""
-    total = dict(state.balance.meter.by_service)
-    for rate_by_service in state.peers.rates_near(now):
-        for service, rate in rate_by_service.items():
-            total[service] = total.get(service, 0) + rate
-    return total
-
-
 def _fetch_from(state: RoutingState, peer: PeerAddress, now: float) -> Effect:
     """Ask a peer for what it knows beyond what is known here."""
     state.fetch_until = now + FETCH_S
@@ -251,63 +208,6 @@
     return []
 
 
-def _answer_to(state: RoutingState, peer: PeerAddress, now: float) -> Heartbeat:
-    """Return the heartbeat that answers a peer's; it names hosts near to that."""
-    if peer.data_centre == state.peers.me.data_centre:
-        return _near_heartbeat(state, now)
-    return _far_heartbeat(state, state.peers.some_others(peer.data_centre, now), now)
-
-
-def _far_heartbeat(
-    state: RoutingState,
-    others: tuple[PeerAddress, ...],
-    now: float,
-) -> Heartbeat:
-    """Return what hosts of other data centres need.
-
-    Who this is, how new its views are, and what its data centre's callers ask for.
-    """
-    return Heartbeat(
-        state.peers.me,
-        state.text_revision,
-        state.directory.newest_revision,
-        {},
-        others,
-        _largest(_rates_of_centre(state, now), MOST_RATES),
-        direct=state.is_direct(now),
-        lost=state.is_lost,
-        stopping=state.stopping.asked,
-    )
-
-
-def _near_heartbeat(state: RoutingState, now: float) -> Heartbeat:
-    """Return all that a neighbour may use."""
-    busy_by_number = {
-        number: upstream.busy_flows
-        for number, upstream in state.directory.by_number.items()
-        if upstream.busy_flows
-    }
-    return Heartbeat(
-        state.peers.me,
-        state.text_revision,
-        state.directory.newest_revision,
-        _largest(busy_by_number, MOST_LOADS),
-        state.peers.some_others(state.peers.me.data_centre, now),
-        _largest(state.balance.meter.by_service, MOST_RATES),
-        state.balance.shares if state.reckons else None,
-        direct=state.is_direct(now),
-        lost=state.is_lost,
-        stopping=state.stopping.asked,
-    )
-
-
-def _largest(by_key: Mapping[KeyT, FigureT], most: int) -> dict[KeyT, FigureT]:
-    """Return the entries with the largest figures, `most` at most."""
-    if len(by_key) <= most:
-        return dict(by_key)
-    return dict(sorted(by_key.items(), key=lambda entry: -entry[1])[:most])
-
-
 def _knows_more(state: RoutingState, heartbeat: Heartbeat) -> bool:
     """Whether the sender has something that is new here.
 
--- a/src/bronzekeel/demo/counts.py
+++ b/src/bronzekeel/demo/counts.py
@@ -4,9 +4,13 @@
 
 from msgspec import Struct
 
+from bronzekeel.bench.quantiles import quantile
 from bronzekeel.demo.site import Site
 
 
+_P99 = 0.99
+
+
 class Outcome(Struct, frozen=True):
     """Hold the demo's result; `ok` tells whether every promise was kept."""
 
@@ -25,6 +29,7 @@
     late_flows_on_leaving: int
     imbalance: dict[str, float]
     text_in_force_s: list[float]
+    text_in_force_p99_s: float
     handed_share: float
     platform_outage_refused: bool
     ok: bool
@@ -68,6 +73,7 @@
         late_flows_on_leaving=late,
         imbalance=_imbalance(site),
         text_in_force_s=[round(seconds, 3) for seconds in in_force_s],
+        text_in_force_p99_s=round(quantile(in_force_s, _P99), 3),
         handed_share=_handed_share(site),
         platform_outage_refused=refused,
         ok=kept and caller.outcomes['answered'] > 0 and bool(in_force_s) and refused,
