Look only at upstreams and services that there is word of

Cause: found by reading against docs/CAPACITY.md. Shared loads were noted at all upstreams ten times a second, rates and slots reckoned over all each second: with the target's 27,000 upstreams more than a tenth of a core, where 2.9 percent are for all control.

Change: only upstreams that peers tell of, or told of last, are looked at; requests are counted by service as they come; slots are summed for services that are asked for.

Ruled out: noting loads less often (a burst is over by then).

Figures: not measured at that size; the loops that grew with all upstreams are gone from the tick.

--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -44,7 +44,7 @@
         """Start with none."""
         self.by_service: dict[str, float] = {}
         self._reckoned = 0
-        self._seen_by_number: dict[int, int] = {}
+        self._seen_by_service: dict[str, int] = {}
 
     @property
     def settled(self) -> bool:
@@ -55,21 +55,13 @@
         """
         return self._reckoned >= _SETTLED_INTERVALS
 
-    def reckon(self, directory: Directory) -> None:
-        """Take the requests of one more interval."""
+    def reckon(self, requests_by_service: Mapping[str, int]) -> None:
+        """Take the requests seen so far, one interval later."""
         self._reckoned += 1
-        newest: dict[str, float] = {}
-        seen: dict[int, int] = {}
-        for number, upstream in directory.by_number.items():
-            seen[number] = upstream.requests
-            fresh = upstream.requests - self._seen_by_number.get(number, 0)
-            service = upstream.entry.service
-            newest[service] = newest.get(service, 0) + fresh / RECKON_S
-        self._seen_by_number = seen
-        self.by_service = {
-            service: _smoothed(self.by_service.get(service), rate)
-            for service, rate in newest.items()
-        }
+        for service, requests in requests_by_service.items():
+            newest = (requests - self._seen_by_service.get(service, 0)) / RECKON_S
+            self._seen_by_service[service] = requests
+            self.by_service[service] = _smoothed(self.by_service.get(service), newest)
 
 
 class Balance:
@@ -144,29 +136,28 @@
 ) -> tuple[FlowShare, ...]:
     """Return the shares that follow from what the callers of each data centre ask for."""
     shares: list[FlowShare] = []
-    for service, slots_by_centre in _slots_of(directory.by_name.values()).items():
+    for service in rates_by_centre[home]:
         rate_by_centre = {
             centre: rate_by_service.get(service, 0)
             for centre, rate_by_service in rates_by_centre.items()
         }
+        slots_by_centre = _slots_of(directory.of_service(service))
         share_by_centre = shares_of(home, slots_by_centre, rate_by_centre, tolerated)
         for centre, share in share_by_centre.items():
             shares.append(FlowShare(service, centre, share))
     return tuple(shares)
 
 
-def loads_at(directory: Directory, home: str) -> dict[str, float]:
-    """Return the requests in progress per slot at the upstreams of a data centre."""
-    busy: dict[str, int] = {}
-    slots: dict[str, int] = {}
-    for upstream in directory.by_name.values():
-        entry = upstream.entry
-        if entry.data_centre != home or not upstream.listed or entry.draining:
+def load_at(directory: Directory, home: str, service: str) -> float:
+    """Return the requests in progress per slot at a service's upstreams at `home`."""
+    busy = 0
+    slots = 0
+    for upstream in directory.of_service(service):
+        if upstream.entry.data_centre != home or not _counts(upstream):
             continue
-        seen = upstream.busy_flows + upstream.busy_elsewhere
-        busy[entry.service] = busy.get(entry.service, 0) + seen
-        slots[entry.service] = slots.get(entry.service, 0) + entry.slots
-    return {service: busy[service] / slots[service] for service in slots}
+        busy += upstream.busy_flows + upstream.busy_elsewhere
+        slots += upstream.entry.slots
+    return busy / slots if slots else 0
 
 
 def shares_of(
@@ -196,17 +187,19 @@
     return {name: share * below for name, below in below_by_centre.items() if below > 0}
 
 
-def _slots_of(upstreams: Iterable[Upstream]) -> dict[str, dict[str, int]]:
-    """Return the slots of listed upstreams by service and data centre."""
-    slots_by_service: dict[str, dict[str, int]] = {}
+def _slots_of(upstreams: Iterable[Upstream]) -> dict[str, int]:
+    """Return the slots of upstreams by data centre."""
+    slots_by_centre: dict[str, int] = {}
     for upstream in upstreams:
-        entry = upstream.entry
-        if not upstream.listed or entry.draining:
-            continue
-        slots_by_centre = slots_by_service.setdefault(entry.service, {})
-        slots = slots_by_centre.get(entry.data_centre, 0)
-        slots_by_centre[entry.data_centre] = slots + entry.slots
-    return slots_by_service
+        if _counts(upstream):
+            centre = upstream.entry.data_centre
+            slots_by_centre[centre] = slots_by_centre.get(centre, 0) + upstream.entry.slots
+    return slots_by_centre
+
+
+def _counts(upstream: Upstream) -> bool:
+    """Whether the slots of an upstream are there for new flows."""
+    return upstream.listed and not upstream.entry.draining
 
 
 def _smoothed(former: float | None, newest: float) -> float:
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -1,6 +1,6 @@
 """Settle where the flows of a data centre go, from what balancers tell each other."""
 
-from bronzekeel.core.routing.balance import RECKON_S, loads_at, reckoned
+from bronzekeel.core.routing.balance import RECKON_S, load_at, reckoned
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -12,7 +12,7 @@
     if now < state.reckon_at:
         return
     state.reckon_at = now + RECKON_S
-    state.balance.meter.reckon(state.directory)
+    state.balance.meter.reckon(state.flows.requests_by_service)
     rates_by_centre = state.relays.rates_elsewhere(now)
     state.reckons = bool(rates_by_centre) and state.balance.meter.settled
     if not state.reckons:
@@ -22,7 +22,8 @@
     rates_by_centre[home] = rates_of_centre(state, now)
     tolerated = state.balance.tolerated
     shares = reckoned(state.directory, home, rates_by_centre, tolerated)
-    state.balance.settle(shares, loads_at(state.directory, home))
+    loads = {share.service: load_at(state.directory, home, share.service) for share in shares}
+    state.balance.settle(shares, loads)
 
 
 def rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -82,7 +82,7 @@
     """Hold the flows that were seen of late.
 
     `answers` counts the times from requests to the acknowledgements of their
-    answers.
+    answers, `requests_by_service` the requests, new flows too.
     """
 
     def __init__(self) -> None:
@@ -90,6 +90,7 @@
         self._by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self.answers = Histogram()
+        self.requests_by_service: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of flows that are remembered."""
@@ -204,7 +205,8 @@
             flow.busy = True
             flow.upstream.busy_flows += 1
             flow.upstream.asked += 1
-            flow.upstream.requests += 1
+            service = flow.upstream.entry.service
+            self.requests_by_service[service] = self.requests_by_service.get(service, 0) + 1
 
     def _mark_idle(self, flow: Flow) -> None:
         self._busy_by_key.pop(flow.key, None)
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -118,8 +118,8 @@
     with `busy_elsewhere` what other balancers of the data centre see, and
     `shared_load` what that makes of it for a slot;
     `unanswered` counts opening packets in a row that nothing came of, for
-    which it gets no new flows before `avoided_until`.  `requests` counts those that this balancer
-    saw, new flows too, and `asked` those of late.
+    which it gets no new flows before `avoided_until`.  `asked` counts the requests that this
+    balancer saw of late, new flows too.
     """
 
     __slots__ = (
@@ -133,7 +133,6 @@
         'missing_at',
         'open_flows',
         'removed_revision',
-        'requests',
         'shared_load',
         'unanswered',
         'warm_at',
@@ -154,7 +153,6 @@
         self.unanswered = 0
         self.avoided_until: float = 0
         self.asked: float = 0
-        self.requests = 0
 
     @property
     def listed(self) -> bool:
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -31,7 +31,6 @@
 from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
-from bronzekeel.core.routing.shared_load import note_busy_elsewhere
 from bronzekeel.core.routing.sharing import (
     ask_elsewhere,
     beat,
@@ -238,7 +237,7 @@
         state.forget_at = now + _FORGET_EVERY_S
         state.directory.forget_old(now)
     state.peers.forget_silent(now)
-    note_busy_elsewhere(state.directory, state.peers.busy_elsewhere(now))
+    state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
     effects = _follow_on(state, now)
     effects.extend(ask_elsewhere(state, now))
--- a/src/bronzekeel/core/routing/shared_load.py
+++ b/src/bronzekeel/core/routing/shared_load.py
@@ -12,6 +12,8 @@
 are late, added up it was 4.3 and 22 percent.
 """
 
+from collections.abc import Mapping
+
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.model import Upstream
 
@@ -23,15 +25,36 @@
 OUTLIER_SLACK = 0.5
 
 
-def note_busy_elsewhere(directory: Directory, busy_by_number: dict[int, int]) -> None:
-    """Note at each upstream what others see in progress there."""
-    groups: dict[tuple[str, str], list[Upstream]] = {}
-    for number, upstream in directory.by_number.items():
-        upstream.busy_elsewhere = busy_by_number.get(number, 0)
-        entry = upstream.entry
-        groups.setdefault((entry.service, entry.data_centre), []).append(upstream)
-    for group in groups.values():
-        _note_loads(group)
+class SharedLoads:
+    """Note at upstreams what others see in progress there.
+
+    Only upstreams that peers tell of, or told of last, are looked at: with tens of
+    thousands of them a look at all, ten times a second, is a tenth of a core.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing told."""
+        self._told: set[int] = set()
+
+    def note(self, directory: Directory, busy_by_number: Mapping[int, int]) -> None:
+        """Take the requests in progress by the short numbers of their upstreams."""
+        touched = self._told.union(busy_by_number)
+        self._told = set(busy_by_number)
+        groups: set[tuple[str, str]] = set()
+        for number in touched:
+            upstream = directory.by_number.get(number)
+            if upstream is None:
+                continue
+            upstream.busy_elsewhere = busy_by_number.get(number, 0)
+            groups.add((upstream.entry.service, upstream.entry.data_centre))
+        for service, data_centre in groups:
+            _note_loads(
+                [
+                    upstream
+                    for upstream in directory.of_service(service)
+                    if upstream.entry.data_centre == data_centre
+                ],
+            )
 
 
 def _note_loads(group: list[Upstream]) -> None:
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -7,6 +7,7 @@
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.relays import Relays
+from bronzekeel.core.routing.shared_load import SharedLoads
 from bronzekeel.core.routing.stopping import Stopping
 from bronzekeel.core.routing.watch_duty import has_current_watcher, is_watcher
 
@@ -34,6 +35,7 @@
         'reckon_at',
         'reckons',
         'relays',
+        'shared_loads',
         'stopping',
         'text',
         'told_elsewhere_at',
@@ -46,6 +48,7 @@
         self.text: RoutingText | None = None
         self.directory = Directory()
         self.flows = FlowTable()
+        self.shared_loads = SharedLoads()
         self.balance = Balance()
         self.reckon_at: float = 0
         self.reckons = False
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,7 +18,7 @@
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.messages import FlowShare
 from bronzekeel.core.routing.placement import FAR_LOAD, EqualWork, LeastBusy, Placement, load_of
-from bronzekeel.core.routing.shared_load import note_busy_elsewhere
+from bronzekeel.core.routing.shared_load import SharedLoads
 from tests.routing_cases import entry
 
 
@@ -114,11 +114,25 @@
         self.assertAlmostEqual(4, loads[0])
         self.assertGreater(loads[0], FAR_LOAD)
 
+    def test_what_peers_no_longer_tell_is_forgotten(self) -> None:
+        """Symptom: an upstream passes for busy for ever.
+
+        Sequence: peers tell of requests in progress, then of none.
+        Cause: looking only at the upstreams that peers tell of now.
+        """
+        directory = Directory()
+        directory.take(entry(1), 0)
+        shared = SharedLoads()
+        shared.note(directory, {1: 6})
+        shared.note(directory, {})
+        self.assertEqual(0, directory.by_name[entry(1).name].busy_elsewhere)
+        self.assertEqual(0, directory.by_name[entry(1).name].shared_load)
+
     def _loads(self, busy_by_number: dict[int, int]) -> list[float]:
         directory = Directory()
         for number in busy_by_number:
             directory.take(entry(number), 0)
-        note_busy_elsewhere(directory, busy_by_number)
+        SharedLoads().note(directory, busy_by_number)
         alone = load_of(directory.by_name[entry(1).name], 1) - 1 / 3
         self.assertAlmostEqual(directory.by_name[entry(1).name].shared_load, alone)
         return [upstream.shared_load for upstream in directory.by_name.values()]
