Refuse figures of peers that cannot be reckoned with

Cause: found by reading the decoder of heartbeats: a rate or a share that is NaN, infinite or negative was taken, and the balance would divide by nothing at each tick.

Change: such a heartbeat is unreadable and counted, like any other of a wrong shape.

Figures: the test fails without the check (no MessageError).

--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -26,6 +26,7 @@
 
 #: Bytes of a route's address and port.
 _KEY_BYTES = 6
+_ENDLESS = float('inf')
 _FLAGS = ('direct', 'lost', 'stopping')
 
 
@@ -62,7 +63,7 @@
             int(fields['upstreams']),
             {int(number): int(busy) for number, busy in fields['busy']},
             tuple(_peer_in(other) for other in fields['others']),
-            {str(service): float(rate) for service, rate in fields['rates']},
+            {str(service): _figure_in(rate) for service, rate in fields['rates']},
             None if fields['shares'] is None else _shares_in(fields['shares']),
             **flags,
         )
@@ -123,11 +124,19 @@
 
 def _shares_in(fields: list[Any]) -> tuple[FlowShare, ...]:
     return tuple(
-        FlowShare(str(service), str(data_centre), float(share))
+        FlowShare(str(service), str(data_centre), _figure_in(share))
         for service, data_centre, share in fields
     )
 
 
+def _figure_in(field: Any) -> float:
+    """Return a figure that can be reckoned with: zero or more, and no infinity."""
+    figure = float(field)
+    if not 0 <= figure < _ENDLESS:
+        raise ValueError(f'{figure} is no figure to reckon with')
+    return figure
+
+
 def _text_out(text: RoutingText) -> dict[str, Any]:
     """Return a text with its routes grouped by where they lead.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,7 +28,7 @@
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
 from tests.routing_cases import entry, ready_state, route, text
-from bronzekeel.core.routing.messages import Heartbeat, PeerAddress, View
+from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress, View
 from bronzekeel.core.routing.sharing import view_since
 
 
@@ -270,6 +270,7 @@
             (7, 8, {3: 2}), (back.text_revision, back.upstreams_revision, back.busy_by_number)
         )
         self.assertEqual((True, False, True), (back.direct, back.lost, back.stopping))
+        self.assertIsNone(back.shares)
         state = ready_state(entry(1), entry(2))
         state.directory.note_removed(entry(2).name, 40, 0)
         view = decode_view(encode_view(view_since(state, 0, 0, 0)))
@@ -281,6 +282,33 @@
             self.fail('no text')
         self.assertEqual(state.text_revision, view.text.revision)
 
+    def test_rates_and_shares_come_back_as_they_were(self) -> None:
+        """What a data centre asks for, and where its flows go."""
+        me = PeerAddress('a1', 'dc-a', ('10.1.0.1', 9))
+        shares = (FlowShare('portal', 'dc-b', 0.25),)
+        back = decode_heartbeat(
+            encode_heartbeat(Heartbeat(me, 7, 8, {}, (), {'portal': 12}, shares))
+        )
+        self.assertEqual({'portal': 12}, back.rate_by_service)
+        told = [(share.service, share.data_centre, share.share) for share in back.shares or ()]
+        self.assertEqual([('portal', 'dc-b', 0.25)], told)
+
+    def test_figures_that_cannot_be_reckoned_with_are_refused(self) -> None:
+        """Symptom: a balancer logs a fault at each tick and shares nothing out.
+
+        Sequence: a peer tells a rate or a share that is no number, endless or negative.
+        Cause: taking whatever reads as a float.
+        """
+        me = PeerAddress('a1', 'dc-a', ('10.1.0.1', 9))
+        for figure in ('NaN', 'Infinity', '-1', '"x"'):
+            for sent in (
+                Heartbeat(me, 7, 8, {}, (), {'portal': 77}),
+                Heartbeat(me, 7, 8, {}, (), {}, (FlowShare('portal', 'dc-b', 77),)),
+            ):
+                raw = encode_heartbeat(sent).replace(b'77', figure.encode())
+                with self.subTest(figure=figure), self.assertRaises(MessageError):
+                    decode_heartbeat(raw)
+
     def test_a_large_text_is_small_on_the_wire(self) -> None:
         """Symptom: a data centre of thirty hosts takes seconds to pass a text on.
 
