Test that a newer call gives up the one before

Cause: watches are made anew while one waits; nothing tested that the old one's outcome is not told.

Change: a test over real sockets.

Conclusion: test only.

--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -20,6 +20,7 @@
 from bronzekeel.core.routing.effects import Effect
 from bronzekeel.core.routing.events import StopAsked
 from bronzekeel.entry.daemon import EntryBalancer
+from bronzekeel.entry.http_client import Call, HttpConnection
 from bronzekeel.entry.http_server import OK, Answer, HttpServer
 from bronzekeel.entry.lines import LINES_PER_KIND, MOST_WAITING_BYTES, LineLog
 from bronzekeel.entry.loop import Loop
@@ -339,6 +340,65 @@
         self.assertEqual(['/view/1/2'], asked)
 
 
+class HttpConnectionTest(TestCase):
+    """Calls over one kept connection."""
+
+    def test_a_newer_call_gives_up_the_one_before(self) -> None:
+        """Symptom: a watch that was given up answers late, and is taken for the newer one.
+
+        Sequence: the store says nothing to a watch; it is made anew.
+        Cause: telling the outcome of a call that nobody waits for.
+        """
+        loop = Loop()
+        told: list[str] = []
+        with socket() as silent:
+            silent.bind((_LOOPBACK, 0))
+            silent.listen()
+            connection = HttpConnection(loop, silent.getsockname())
+            until_s = monotonic() + _PATIENCE_S
+            for name in ('first', 'second'):
+                connection.ask(_call_noted(name, until_s, told))
+            self._answer_second(loop, silent, told)
+        connection.close()
+        loop.close()
+        self.assertEqual(['second 200'], told)
+
+    def _answer_second(self, loop: Loop, silent: socket, told: list[str]) -> None:
+        """Answer each connection on which the second call comes."""
+
+        def serve() -> None:  # noqa: WPS430 (runs in a thread of its own)
+            while not told:
+                accepted, _ = silent.accept()
+                accepted.settimeout(_PATIENCE_S)
+                if b'/second' in accepted.recv(4096):
+                    accepted.sendall(b'HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n')
+                    return
+
+        thread = Thread(target=serve)
+        thread.start()
+        give_up = loop.call_at(monotonic() + _PATIENCE_S, loop.stop)
+        self._stop_when_told(loop, told)
+        loop.run()
+        give_up.cancel()
+        thread.join()
+
+    def _stop_when_told(self, loop: Loop, told: list[str]) -> None:
+        if told:
+            loop.stop()
+            return
+        loop.call_at(monotonic() + 0.01, lambda: self._stop_when_told(loop, told))
+
+
+def _call_noted(name: str, until_s: float, told: list[str]) -> Call:
+    """Return a call whose outcome goes to `told`."""
+    return Call(
+        f'/{name}',
+        until_s,
+        lambda status, body: told.append(f'{name} {status}'),
+        lambda problem: told.append(f'{name} failed'),
+    )
+
+
 def _noted(asked: list[str], target: str) -> Answer:
     asked.append(target)
     return Answer(OK)
