Bind the lean balancer's pair of ports as the keepers do

Cause: found while tracing the parallel tests. With port 0 the lean balancer took a port for streams and then the same for datagrams, which another process may have: "address already in use" though any port would do. The keepers had met this and try again; the lean one had a copy of its own without that.

Change: one function for both, in a module that imports little. The HTTP server takes a bound socket.

Ruled out: nothing changes for fixed ports, as on the platform.

--- a/src/bronzekeel/adapters/peers.py
+++ b/src/bronzekeel/adapters/peers.py
@@ -16,10 +16,9 @@
     get_running_loop,
 )
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from itertools import repeat
 from logging import getLogger
-from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
 from typing import Any
 
 from grpclib.client import Channel, UnaryUnaryMethod
@@ -32,6 +31,7 @@
 from bronzekeel.adapters.faults import CALL_FAULTS
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.messages import Heartbeat, HostEntry, Message
+from bronzekeel.entry.port_pair import BIND_TRIES, bind_pair
 from bronzekeel.wire import WireError, decode, encode, sent_bytes
 
 
@@ -42,11 +42,6 @@
 _QUEUE = 4096
 _BATCH = 256
 
-#: Tries to find a port that is free for datagrams and for calls.  Source: a
-#: crowded host has a tenth of its ports in use; twenty tries all fail then
-#: once in 10**20 starts.
-_BIND_TRIES = 20
-
 
 class _Batch(Struct, frozen=True, array_like=True):
     """Hold the messages of one call."""
@@ -156,31 +151,6 @@
                 )
 
 
-def bind_pair(address: str, ports: Iterable[int]) -> tuple[socket, socket]:
-    """Return a datagram and a stream socket on the same port.
-
-    What goes wrong with one try: port 0 gives a port that is free for
-    datagrams, and another process has it for streams.  One notices by an
-    "address already in use" though any port would do; so each of `ports` is
-    tried in turn.  Raises OSError when none is free for both.
-    """
-    fault = OSError('no port to try')
-    for port in ports:
-        datagrams = socket(AF_INET, SOCK_DGRAM)
-        calls = socket(AF_INET, SOCK_STREAM)
-        calls.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        try:
-            datagrams.bind((address, port))
-            calls.bind((address, datagrams.getsockname()[1]))
-        except OSError as taken:
-            fault = taken
-            datagrams.close()
-            calls.close()
-            continue
-        return datagrams, calls
-    raise fault
-
-
 class Peers:
     """Own the sockets towards other balancers."""
 
@@ -197,7 +167,7 @@
     async def open(self, address: str, port: int) -> int:
         """Bind one port for calls and datagrams; return it."""
         loop: AbstractEventLoop = get_running_loop()
-        datagrams, calls = bind_pair(address, repeat(port, _BIND_TRIES))
+        datagrams, calls = bind_pair(address, repeat(port, BIND_TRIES))
         transport, _ = await loop.create_datagram_endpoint(
             lambda: _Datagrams(self._take, self.counts),
             sock=datagrams,
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -38,7 +38,14 @@
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.entry.http_client import Call, HttpConnection
-from bronzekeel.entry.http_server import NOT_FOUND, OK, UNAVAILABLE, Answer, HttpServer
+from bronzekeel.entry.http_server import (
+    NOT_FOUND,
+    OK,
+    UNAVAILABLE,
+    Answer,
+    HttpServer,
+    bound_stream,
+)
 from bronzekeel.entry.decision_log import LineDecisionLog
 from bronzekeel.entry.lines import LineLog
 from bronzekeel.entry.loop import Loop
@@ -100,7 +107,11 @@
             steering,
             self._note_bad_packet,
         )
-        self.readiness = HttpServer(self.loop, settings.readiness, self._answer_probe)
+        self.readiness = HttpServer(
+            self.loop,
+            bound_stream(settings.readiness),
+            self._answer_probe,
+        )
         self.peers = PeerSockets(
             self.loop,
             settings.peers,
--- a/src/bronzekeel/entry/http_server.py
+++ b/src/bronzekeel/entry/http_server.py
@@ -41,18 +41,27 @@
 _AnswerTo = Callable[[str], Answer]
 
 
+def bound_stream(address: tuple[str, int]) -> socket:
+    """Return a socket that is to take connections at `address`.
+
+    Raises OSError when the port is taken or the address is not this host's.
+    """
+    bound = socket(AF_INET, SOCK_STREAM)
+    bound.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    bound.bind(address)
+    return bound
+
+
 class HttpServer:
     """Own one listening port."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], answer_to: _AnswerTo) -> None:
-        """Bind `address`; ``answer_to`` is asked for the answer to each target."""
+    def __init__(self, loop: Loop, bound: socket, answer_to: _AnswerTo) -> None:
+        """Listen on a `bound` socket; ``answer_to`` is asked for the answer to each target."""
         self._loop = loop
         self._answer_to = answer_to
         self._connections: set[_Connection] = set()
-        self._socket = socket(AF_INET, SOCK_STREAM)
-        self._socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self._socket = bound
         self._socket.setblocking(False)
-        self._socket.bind(address)
         self._socket.listen(_BACKLOG)
         loop.watch(self._socket, EVENT_READ, self._accept)
 
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -7,8 +7,8 @@
 """
 
 from collections.abc import Callable, Mapping
+from itertools import repeat
 from selectors import EVENT_READ
-from socket import AF_INET, SOCK_DGRAM, socket
 from time import monotonic
 
 from bronzekeel.core.routing.effects import FetchView, SendHeartbeat
@@ -32,6 +32,7 @@
     encode_heartbeat,
     encode_view,
 )
+from bronzekeel.entry.port_pair import BIND_TRIES, bind_pair
 
 
 #: Views that are sent at once; who asks beyond that is refused and asks another
@@ -71,10 +72,10 @@
         self._view_since = view_since
         self._note_fault = note_fault
         self._fetch: HttpConnection | None = None
-        self._server = HttpServer(loop, address, self._answer_to)
-        self._socket = socket(AF_INET, SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind((address[0], self._server.port))
+        datagrams, streams = bind_pair(address[0], repeat(address[1], BIND_TRIES))
+        datagrams.setblocking(False)
+        self._socket = datagrams
+        self._server = HttpServer(loop, streams, self._answer_to)
         loop.watch(self._socket, EVENT_READ, self._receive)
 
     @property
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -21,7 +21,7 @@
 from bronzekeel.core.routing.events import StopAsked
 from bronzekeel.entry.daemon import EntryBalancer
 from bronzekeel.entry.http_client import Call, HttpConnection
-from bronzekeel.entry.http_server import OK, Answer, HttpServer
+from bronzekeel.entry.http_server import OK, Answer, HttpServer, bound_stream
 from bronzekeel.entry.lines import LINES_PER_KIND, MOST_WAITING_BYTES, LineLog
 from bronzekeel.entry.loop import Loop
 from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
@@ -328,7 +328,9 @@
         """
         loop = Loop()
         asked: list[str] = []
-        server = HttpServer(loop, (_LOOPBACK, 0), lambda target: _noted(asked, target))
+        server = HttpServer(
+            loop, bound_stream((_LOOPBACK, 0)), lambda target: _noted(asked, target)
+        )
         with socket() as stream:
             stream.connect((_LOOPBACK, server.port))
             loop.call_at(monotonic() + 0.05, lambda: stream.sendall(b'GET /vi'))
--- a/tests/test_peer_ports.py
+++ b/tests/test_peer_ports.py
@@ -3,7 +3,7 @@
 from socket import socket
 from unittest import TestCase
 
-from bronzekeel.adapters.peers import bind_pair
+from bronzekeel.entry.port_pair import bind_pair
 
 
 _LOOPBACK = '127.0.0.1'
