End a module of tests that hangs, and a test that waits for a process

Cause: the first parallel run stood still for ten minutes at tests.test_processes.

Change: the test waits 60 s for the stopped process, the runner 300 s for a module.

Conclusion: a hang shows as a failure now.

--- a/tests/run.py
+++ b/tests/run.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from enum import StrEnum
 from pathlib import Path
-from subprocess import PIPE, STDOUT
+from subprocess import PIPE, STDOUT, TimeoutExpired
 from subprocess import run as run_process
 from typing import Any, NamedTuple
 
@@ -28,6 +28,10 @@
 #: have four cores at least.
 PROCESSES = 4
 
+#: Seconds after which a module that has not ended has failed.  Source: ten times the
+#: longest one, thirteen seconds alone, beside load.
+MODULE_S = 300
+
 
 class Counts(NamedTuple):
     """Hold how many tests passed and failed."""
@@ -119,12 +123,13 @@
 
 def run_module(name: str) -> Counts:
     """Run one module of tests in a process of its own, and show what it wrote."""
-    done = run_process(
-        (sys.executable, '-m', 'tests.run', name),
-        stdout=PIPE,
-        stderr=STDOUT,
-        check=False,
-    )
+    command = (sys.executable, '-m', 'tests.run', name)
+    try:
+        done = run_process(command, stdout=PIPE, stderr=STDOUT, check=False, timeout=MODULE_S)
+    except TimeoutExpired as hanging:
+        written = (hanging.stdout or b'').decode(errors='replace')
+        sys.stdout.write(f'{name}\n{written}\nno end after {MODULE_S} s\n')
+        return Counts(0, 1)
     written = done.stdout.decode(errors='replace')
     sys.stdout.write(f'{name}\n{written}')
     sys.stdout.flush()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,6 @@
 """Test balancers as separate processes, as they run on hosts."""
 
-from asyncio import create_subprocess_exec, run, sleep
+from asyncio import create_subprocess_exec, run, sleep, wait_for
 from asyncio.subprocess import PIPE, Process
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -20,6 +20,10 @@
 from tests.test_daemon import until
 
 
+#: Seconds in which a stopped process must end, with much patience.
+_STOP_S = 60
+
+
 @dataclass(slots=True)
 class Fleet:
     """Hold balancer processes beside a site's stand-ins."""
@@ -93,7 +97,7 @@
         await self._step_until_answered(fleet, flows)
         site.unlist('a1')
         fleet.processes['a1'].send_signal(SIGTERM)
-        self.assertEqual(0, await fleet.processes['a1'].wait())
+        self.assertEqual(0, await wait_for(fleet.processes['a1'].wait(), _STOP_S))
         await self._step_until_answered(fleet, flows)
         fleet.processes['a2'].send_signal(SIGKILL)
         site.fabric.balancers.pop('a2')
