Let no call that never ends keep a stopped balancer alive

Cause: found while looking for what hung in the first parallel run of the tests. At a planned stop the keepers' balancer waits for its servers' last calls without an end; a caller that holds one open keeps the process there for ever.

Change: two seconds, then it closes and says so.

Figures: the test times out without the bound.

Whether this was the hang is not known. The lean balancer of the platform is not touched.

--- a/src/bronzekeel/balancer/daemon.py
+++ b/src/bronzekeel/balancer/daemon.py
@@ -1,6 +1,6 @@
 """Wire adapters and reducer into one running balancer."""
 
-from asyncio import Event as AsyncEvent, get_running_loop, wait_for
+from asyncio import Event as AsyncEvent, get_running_loop, gather, wait_for
 from collections import Counter
 from collections.abc import Callable
 from logging import getLogger
@@ -59,6 +59,11 @@
 
 #: Wait after the last duty, for packets that the fabric has still in flight.
 _LINGER_S = 0.5
+
+#: Seconds in which the servers' last calls may end.  What goes wrong without it: a
+#: caller that holds a call open for ever keeps a stopped process alive.  Source: a
+#: call between balancers ends in 2 s or fails.
+CLOSING_S = 2.0
 _NANOSECONDS_IN_MS = 1_000_000
 
 
@@ -192,8 +197,10 @@
         self._prober.close()
         self._upstreams.close()
         await self._texts.close()
-        await self.callers.close()
-        await self.peers.close()
+        try:
+            await wait_for(gather(self.callers.close(), self.peers.close()), CLOSING_S)
+        except TimeoutError:
+            _logger.warning('calls did not end within %s s of the stop', CLOSING_S)
         await self.platform.close()
         self._recorder.close()
         self._outcomes.close()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,12 +1,21 @@
 """Test one balancer over real sockets on loopback, with stand-ins around it."""
 
-from asyncio import DatagramProtocol, get_running_loop, open_connection, run, sleep
+from asyncio import (
+    DatagramProtocol,
+    Event,
+    get_running_loop,
+    open_connection,
+    run,
+    sleep,
+    wait_for,
+)
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
 from typing import Any
 from unittest import TestCase
+from unittest.mock import patch
 
 from aiohttp import ClientSession
 
@@ -69,6 +78,14 @@
         """
         run(with_site(self._send_rubbish))
 
+    def test_a_call_that_never_ends_keeps_no_balancer_alive(self) -> None:
+        """Symptom: a process that was stopped is still there a day later.
+
+        Sequence: a caller holds a call open; the balancer is stopped.
+        Cause: waiting for the last calls without an end.
+        """
+        run(with_site(self._close_beside_a_call))
+
     def test_flow_and_request_survive_a_planned_stop(self) -> None:
         """Symptom: flows or requests end with the balancer that is replaced.
 
@@ -141,6 +158,13 @@
             for balancer in site.balancers.values()
         )
 
+    async def _close_beside_a_call(self, site: Site) -> None:
+        balancer = site.balancers.pop('a1')
+        ended = balancer.callers.close
+        with patch.object(balancer.callers, 'close', Event().wait):
+            await wait_for(balancer.close(), _PATIENCE_S)
+        await ended()
+
     async def _send_rubbish(self, site: Site) -> None:
         balancer = site.balancers['a1']
         host = site.hosts['a1']
