--- a/src/bronzekeel/bench/start.py
+++ b/src/bronzekeel/bench/start.py
@@ -97,8 +97,9 @@
 
         Packets that an earlier one held and forwarded together are left out.
         """
-        while self._is_forwarded():
-            continue
+        left_over = True
+        while left_over:
+            left_over = self._is_forwarded()
         begun_at = perf_counter()
         process = _started(('-c', _CODE, str(settings)))
         opening = build_echo(EchoSegment(self.caller.getsockname(), _SERVICE, SYN))
