Share out nothing where nobody has room

Cause: found on reading the change again, by running bench placement once more: it ended with a division by zero. Since shares are reckoned for services that are asked for, a data centre that knows no other gets there; its rate is a little more than its share by rounding when none more than its share is tolerated, as with policies that set no tolerance.

Change: no room elsewhere, no shares. A test plays every policy at every moment, one tries rounding.

Ruled out: a tolerance for rounding (a figure more, for the same).

--- a/src/bronzekeel/bench/placement.py
+++ b/src/bronzekeel/bench/placement.py
@@ -31,7 +31,7 @@
 _PRODUCT = 'least_busy'
 _EQUAL = 'equal_work'
 
-_POLICIES: Mapping[str, type[Placement]] = MappingProxyType(
+POLICIES: Mapping[str, type[Placement]] = MappingProxyType(
     {
         'random_near': RandomNear,
         'two_choices': TwoChoices,
@@ -216,7 +216,7 @@
         for kind in MOMENTS:
             by_policy = {
                 policy: played(kind(), placement_of, options)
-                for policy, placement_of in _POLICIES.items()
+                for policy, placement_of in POLICIES.items()
             }
             figures[kind.name] = by_policy
             failed.extend(_failures(kind, by_policy))
--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -183,7 +183,10 @@
     below_by_centre = {
         centre: max(0, mean * slots_by_centre[centre] - rate_by_centre[centre]) for centre in known
     }
-    share = above / rate_by_centre[home] / sum(below_by_centre.values())
+    room = sum(below_by_centre.values())
+    if room <= 0:
+        return {}
+    share = above / rate_by_centre[home] / room
     return {name: share * below for name, below in below_by_centre.items() if below > 0}
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,8 @@
 from unittest import TestCase
 
 from bronzekeel.bench.placement import (
+    MOMENTS,
+    POLICIES,
     Burst,
     Calm,
     CentreShort,
@@ -88,6 +90,17 @@
         self.assertGreater(at_home.imbalance, 1.4)
         self.assertLess(_played(Uneven(), EqualWork, lasting_s=40).imbalance, 1.1)
 
+    def test_every_policy_can_be_played_at_every_moment(self) -> None:
+        """Symptom: `bench placement` ends with a fault instead of figures.
+
+        Sequence: a policy that was weighed and not chosen is played.
+        Cause: testing the chosen ones only.
+        """
+        for moment in MOMENTS:
+            for policy in POLICIES.values():
+                with self.subTest(moment=moment.name, policy=policy.__name__):
+                    self.assertGreater(_played(moment(), policy).requests, 0)
+
     def test_a_seed_gives_the_same_figures(self) -> None:
         """A replay is the same each time."""
         self.assertEqual(_played(Burst()), _played(Burst()))
@@ -164,6 +177,18 @@
         """
         self.assertEqual({}, _shares('a', {'a': 12, 'b': 1, 'c': 1}))
 
+    def test_a_data_centre_alone_keeps_all(self) -> None:
+        """Symptom: a fault is logged at each tick, and nothing is shared out.
+
+        Sequence: no other data centre has upstreams of a service; the mean of one data
+        centre, times its slots, is a little less than its rate by rounding.
+        Cause: dividing by the room that others have, where nobody has any.
+        """
+        for slots in range(1, 50):
+            for rate in range(20, 60):
+                shares = shares_of('a', {'a': slots}, {'a': rate / 0.7}, 1)
+                self.assertEqual({}, shares)
+
     def test_a_data_centre_that_is_not_heard_gets_nothing(self) -> None:
         """Symptom: flows are sent into a cut.
 
