Remove counts that nothing reads; start hosts in the dark in one place

Cause: reading the change again. The replayed load counted ends and failures that no figure uses, and named a pause after a reset that it does not play (no moment has a reset); three tests spelled the same start without the store.

--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -5,7 +5,7 @@
 never lost here.
 """
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -19,7 +19,7 @@
     UpstreamEntry,
 )
 from bronzekeel.core.routing.placement import Placement
-from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict
+from bronzekeel.core.routing.verdicts import Deliver, Verdict
 from bronzekeel.replay.routing_fleet import RoutingFleet
 
 
@@ -46,8 +46,7 @@
 _COPIES_S = (0.2, 0.6)
 _GIVE_UP_S = 1.4
 
-#: Pause before another attempt after a reset or a refusal, seconds.
-_RETRY_S = 0.05
+#: Attempts to open a flow for a request.
 _MOST_ATTEMPTS = 3
 
 #: Seconds that a fresh upstream takes longer for its work, and how much longer.
@@ -167,8 +166,6 @@
         self.waited_for_copy = 0
         self.opened = 0
         self.opened_twice = 0
-        self.failed = 0
-        self.ends: Counter[str] = Counter()
         self._names = names
         self._numbers = 0
         route = Route(_KEY, (ServiceShare(_SERVICE, 1),), seal_of(_KEY))
@@ -264,8 +261,6 @@
     def _open(self, centre: str, request: Request) -> None:
         """Open a flow for a request, again and again for as long as callers do."""
         if request.attempts >= _MOST_ATTEMPTS:
-            self.failed += 1
-            self.ends['given_up'] += 1
             return
         request.attempts += 1
         self._numbers += 1
@@ -278,7 +273,6 @@
 
     def _give_up(self, centre: str, flow: Flow, request: Request) -> None:
         if flow.server is None and not request.answered:
-            self.ends['no_answer'] += 1
             self._open(centre, request)
 
     def _send_opening(self, flow: Flow, request: Request, copy: int) -> None:
@@ -289,9 +283,6 @@
 
     def _take_opening(self, flow: Flow, request: Request, packet: FlowPacket) -> None:
         verdict = self.fleet.decide(flow.host, packet)
-        if isinstance(verdict, Reset):
-            self.ends['reset'] += 1
-            return
         server = self._server_of(verdict)
         if server is None or server.is_full:
             return
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -37,6 +37,16 @@
     return [node.me.name for node in fleet.running if node.state.is_direct(fleet.now)]
 
 
+def _restart_in_the_dark(fleet: RoutingFleet, names: list[str]) -> None:
+    """Let hosts lose power for a second, and start while the store turns them away."""
+    fleet.lose_store(names, 'refuses')
+    for name in names:
+        fleet.kill(name)
+    fleet.run(1)
+    for name in names:
+        fleet.restart(name)
+
+
 class TellingTest(TestCase):
     """A few watch the store, the others are told."""
 
@@ -272,12 +282,7 @@
         """With nobody who knows, all wait, and serve when the store is back."""
         fleet = fleet_of(3, ('dc-a',))
         names = list(fleet.node_by_name)
-        fleet.lose_store(names, 'refuses')
-        for name in names:
-            fleet.kill(name)
-        fleet.run(1)
-        for name in names:
-            fleet.restart(name)
+        _restart_in_the_dark(fleet, names)
         fleet.run(3)
         self.assertFalse(any(node.state.ready for node in fleet.running))
         fleet.lose_store(names, 'serves')
@@ -293,12 +298,7 @@
         fleet = fleet_of(2)
         fleet.run(5)
         dark = ['dc-b-1', 'dc-b-2']
-        fleet.lose_store(dark, 'refuses')
-        for name in dark:
-            fleet.kill(name)
-        fleet.run(1)
-        for name in dark:
-            fleet.restart(name)
+        _restart_in_the_dark(fleet, dark)
         fleet.run(1)
         for name in dark:
             self.assertTrue(fleet.node_by_name[name].state.ready)
@@ -311,12 +311,7 @@
         """
         fleet = fleet_of(2, ('dc-a',))
         names = list(fleet.node_by_name)
-        fleet.lose_store(names, 'refuses')
-        for name in names:
-            fleet.kill(name)
-        fleet.run(1)
-        for name in names:
-            fleet.restart(name)
+        _restart_in_the_dark(fleet, names)
         before = sum(node.heartbeats for node in fleet.running)
         fleet.run(5)
         sent = sum(node.heartbeats for node in fleet.running) - before
