--- /dev/null
+++ b/src/bronzekeel/bench/load_figures.py
@@ -0,0 +1,38 @@
+"""Hold what callers felt in one play of a moment, and take means of several."""
+
+from statistics import fmean
+
+from msgspec import Struct
+from msgspec.structs import asdict
+
+
+class PlacementFigures(Struct, frozen=True):
+    """Hold what callers felt under one policy; times are seconds.
+
+    `late_share` counts answers after 0.2 s and requests without one.  `earned_share` is of
+    the worth of all requests, `urgent_share` of that of the most urgent kind;
+    `earned_over_ceiling` compares with perfect sight.  `turned_away_share` is what
+    upstreams turned away, for each request that they ran.  `heartbeats_s` is how many one
+    balancer sends in a second.
+    """
+
+    requests: float
+    p50: float
+    p99: float
+    late_share: float
+    copy_share: float
+    opened_twice: float
+    failed: float
+    imbalance: float
+    heartbeats_s: float
+    earned_share: float
+    earned_over_ceiling: float
+    urgent_share: float
+    turned_away_share: float
+
+
+def mean_of(plays: list[PlacementFigures]) -> PlacementFigures:
+    """Return the means of some plays' figures."""
+    listed = [asdict(figures) for figures in plays]
+    means = {name: fmean(figures[name] for figures in listed) for name in listed[0]}
+    return PlacementFigures(**{name: round(mean, 4) for name, mean in means.items()})
--- /dev/null
+++ b/src/bronzekeel/bench/load_moments.py
@@ -0,0 +1,285 @@
+"""Define the worst moments of a day: how load comes, and what goes wrong meanwhile."""
+
+from abc import ABC, abstractmethod
+from functools import partial
+from typing import ClassVar
+
+from bronzekeel.replay.flow_load import CENTRES, FEED, SINGLE, FlowLoad
+from bronzekeel.replay.load_callers import RequestKind
+from bronzekeel.replay.load_servers import Server, ServerKind
+
+
+#: Share of all slots that single requests and long flows fill on a usual day.
+_SINGLE_SHARE = 0.25
+_USERS_PER_UPSTREAM = 4
+
+#: Seconds between an upstream's silence and the lapse of its entry.
+_LAPSE_S = 2.4
+
+#: Single requests that are worth more and are more urgent than feeds.
+URGENT = RequestKind(
+    'urgent',
+    SINGLE.key,
+    work_s=0.052,
+    aim_s=0.25,
+    worth=2,
+    late_worth=0.6,
+)
+
+#: Clients that ask for feeds, for each upstream.
+_CLIENTS_PER_UPSTREAM = 7
+
+
+class Moment(ABC):
+    """Hold one worst moment of `lasting_s` seconds, in which balancers may be `dark`."""
+
+    name: ClassVar[str]
+    equal_upstreams: ClassVar[bool] = False
+    weights: ClassVar[tuple[int, ...]] = (1, 1, 1)
+    server_kind: ClassVar[ServerKind] = ServerKind()
+    kinds: ClassVar[tuple[RequestKind, ...]] = (SINGLE, FEED)
+    dark: ClassVar[tuple[float, float]] = (0, 0)
+    lasting_s: float = 12
+
+    def ask(self, load: FlowLoad) -> None:
+        """Plan what callers ask for: usual load, unless a moment says otherwise."""
+        servers = len(load.server_by_name)
+        usual = _SINGLE_SHARE * servers * load.server_kind.slots / SINGLE.work_s
+        load.arrive(lambda at_s: self.rate_of(at_s, usual), self.lasting_s)
+        load.hold_flows(_USERS_PER_UPSTREAM * servers, self.lasting_s)
+
+    def rate_of(self, at_s: float, usual: float) -> float:
+        """Return the requests a second at a time of the moment."""
+        return usual
+
+    @abstractmethod
+    def disturb(self, load: FlowLoad) -> None:
+        """Plan what goes wrong."""
+
+
+class Calm(Moment):
+    """Nothing goes wrong."""
+
+    name = 'calm'
+    equal_upstreams = True
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Plan nothing."""
+
+
+class Uneven(Calm):
+    """The callers of one data centre ask for half of everything."""
+
+    name = 'uneven'
+    weights = (2, 1, 1)
+
+
+class Burst(Calm):
+    """Three times the single requests for three seconds."""
+
+    name = 'burst'
+
+    def rate_of(self, at_s: float, usual: float) -> float:
+        """Return three times the usual rate in the middle."""
+        return usual * 3 if 4 <= at_s < 7 else usual
+
+
+class SlowUpstream(Moment):
+    """One upstream works five times slower for six seconds."""
+
+    name = 'slow_upstream'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Slow the first one down."""
+        server = next(iter(load.server_by_name.values()))
+        load.fleet.at(3, partial(setattr, server, 'slow', 5))
+        load.fleet.at(9, partial(setattr, server, 'slow', 1))
+
+
+class GreyUpstream(Moment):
+    """One upstream opens every flow and answers no request for two seconds."""
+
+    name = 'grey_upstream'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Turn the first one grey."""
+        server = next(iter(load.server_by_name.values()))
+        load.fleet.at(3, partial(setattr, server, 'grey', True))
+        load.fleet.at(5, partial(setattr, server, 'grey', False))
+
+
+class SilentUpstream(Moment):
+    """One upstream falls silent; its entry lapses later."""
+
+    name = 'silent_upstream'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Silence the first one."""
+        first = next(iter(load.server_by_name))
+        load.fleet.at(3, partial(load.silence_server, first, _LAPSE_S))
+
+
+class Release(Moment):
+    """Each upstream is replaced by a cold one, one a second."""
+
+    name = 'release'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Replace them in turn."""
+        for place, server in enumerate(list(load.server_by_name.values())):
+            load.fleet.at(1 + place, partial(_replace, load, server.name))
+
+
+class CentreShort(Moment):
+    """All upstreams of one data centre but one leave."""
+
+    name = 'centre_short'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Drain those of the first data centre but the last."""
+        for server in _servers_in(load, CENTRES[0])[:-1]:
+            load.fleet.at(3, partial(load.drain_server, server.name))
+
+
+class CentreWithoutUpstreams(Moment):
+    """All upstreams of one data centre leave."""
+
+    name = 'centre_without_upstreams'
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Drain those of the first data centre."""
+        for server in _servers_in(load, CENTRES[0]):
+            load.fleet.at(3, partial(load.drain_server, server.name))
+
+
+class Overload(Calm):
+    """Callers ask for `times` the usual for four seconds, feeds and urgent requests alike.
+
+    Usually they ask for `usual_share` of what all slots can do.
+    """
+
+    name = 'overload'
+    kinds = (URGENT, FEED)
+    equal_upstreams = False
+    begins_s: ClassVar[float] = 4
+    ends_s: ClassVar[float] = 8
+    usual_share: ClassVar[float] = 0.4
+    feed_share: ClassVar[float] = 0.75
+    times: float = 3
+
+    def ask(self, load: FlowLoad) -> None:
+        """Plan requests of both kinds."""
+        servers = len(load.server_by_name)
+        work_s = self.usual_share * servers * load.server_kind.slots
+        feeds = work_s * self.feed_share / FEED.work_s
+        urgent = work_s * (1 - self.feed_share) / URGENT.work_s
+        load.arrive(lambda at_s: self.rate_of(at_s, urgent), self.lasting_s, URGENT)
+        load.ask_from_clients(
+            lambda at_s: self.rate_of(at_s, feeds),
+            self.lasting_s,
+            _CLIENTS_PER_UPSTREAM * servers,
+        )
+
+    def rate_of(self, at_s: float, usual: float) -> float:
+        """Return the rate of the burst in the middle."""
+        return usual * self.times if self.begins_s <= at_s < self.ends_s else usual
+
+
+class Overload15(Overload):
+    """One and a half times the usual: high, but possible."""
+
+    name = 'overload_1.5'
+    times = 1.5
+
+
+class Overload2(Overload):
+    """Twice the usual: four fifths of what all can do."""
+
+    name = 'overload_2'
+    times = 2
+
+
+class Overload4(Overload):
+    """Four times the usual."""
+
+    name = 'overload_4'
+    times = 4
+
+
+class OverloadTwoSlots(Overload):
+    """Upstreams of two slots that turn away all but two that wait."""
+
+    name = 'overload_short_queue'
+    server_kind = ServerKind(slots=2, queue=2)
+
+
+class OverloadOneSlot(Overload):
+    """Upstreams of one slot with a long queue."""
+
+    name = 'overload_one_slot'
+    server_kind = ServerKind(slots=1, queue=16)
+
+
+class OverloadThirdLost(Overload):
+    """A third of the upstreams fall silent two seconds before."""
+
+    name = 'overload_third_lost'
+    times = 2.5
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Silence every third one."""
+        for name in list(load.server_by_name)[::3]:
+            load.fleet.at(2, partial(load.silence_server, name, _LAPSE_S))
+
+
+class OverloadRestart(Overload):
+    """All balancers are dark for a second in the middle of it."""
+
+    name = 'overload_restart'
+    times = 2.5
+    dark = (5, 6)
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Kill all, and start them again."""
+        for name in load.fleet.node_by_name:
+            load.fleet.at(self.dark[0], partial(load.fleet.kill, name))
+            load.fleet.at(self.dark[1], partial(load.fleet.restart, name))
+
+
+class HighLoad(Overload):
+    """Callers ask for four fifths of what all slots can do, all the time."""
+
+    name = 'high_load'
+    usual_share = 0.8
+    times = 1
+
+
+def _servers_in(load: FlowLoad, centre: str) -> list[Server]:
+    return [server for server in load.server_by_name.values() if server.data_centre == centre]
+
+
+def _replace(load: FlowLoad, name: str) -> None:
+    load.add_server(load.server_by_name[name].data_centre, cold=True)
+    load.drain_server(name)
+
+
+MOMENTS: tuple[type[Moment], ...] = (
+    Calm,
+    Uneven,
+    Burst,
+    SlowUpstream,
+    GreyUpstream,
+    SilentUpstream,
+    Release,
+    CentreShort,
+    CentreWithoutUpstreams,
+    HighLoad,
+    Overload15,
+    Overload2,
+    Overload,
+    Overload4,
+    OverloadTwoSlots,
+    OverloadOneSlot,
+    OverloadThirdLost,
+    OverloadRestart,
+)
--- /dev/null
+++ b/src/bronzekeel/bench/load_picture.py
@@ -0,0 +1,36 @@
+"""Draw what policies earn at each moment, as a share of what perfect sight earns."""
+
+from collections.abc import Mapping
+from pathlib import Path
+
+from matplotlib.backends.backend_agg import FigureCanvasAgg
+from matplotlib.figure import Figure
+
+from bronzekeel.bench.load_figures import PlacementFigures
+
+
+_INCHES = (12, 7)
+_DOTS_PER_INCH = 100
+_MARKERS = 'osv^<>Dph*XPd'
+
+
+def draw(
+    figures_by_moment: Mapping[str, Mapping[str, PlacementFigures]],
+    path: Path,
+) -> None:
+    """Write a picture: a row for each moment, a mark for each policy."""
+    figure = Figure(figsize=_INCHES, layout='constrained')
+    FigureCanvasAgg(figure)
+    axes = figure.add_subplot()
+    moments = list(figures_by_moment)
+    policies = list(next(iter(figures_by_moment.values())))
+    for place, policy in enumerate(policies):
+        earned = [figures_by_moment[moment][policy].earned_over_ceiling for moment in moments]
+        marker = _MARKERS[place % len(_MARKERS)]
+        axes.plot(earned, range(len(moments)), marker, label=policy, alpha=0.8)
+    axes.set_yticks(range(len(moments)), moments)
+    axes.invert_yaxis()
+    axes.grid(axis='y', alpha=0.3)
+    axes.set_xlabel('worth earned, as a share of what perfect sight earns')
+    axes.legend(loc='lower left')
+    figure.savefig(path, dpi=_DOTS_PER_INCH)
--- /dev/null
+++ b/src/bronzekeel/bench/load_policies.py
@@ -0,0 +1,38 @@
+"""Name the policies that the placement benchmark weighs, the product's among them."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from bronzekeel.bench.admission_policies import (
+    AdmitAll,
+    FixedLimit,
+    LearnedLimit,
+    ShareAlone,
+    WaitTarget,
+)
+from bronzekeel.bench.placement_policies import OwnSight, RandomNear, Summed, TwoChoices
+from bronzekeel.bench.waiting_policies import OldestFirst, PriorityBlind
+from bronzekeel.core.routing.placement import EqualWork
+from bronzekeel.replay.routing_fleet import FleetPolicies
+
+
+PRODUCT = 'least_busy'
+EQUAL = 'equal_work'
+
+POLICIES: Mapping[str, FleetPolicies] = MappingProxyType(
+    {
+        PRODUCT: FleetPolicies(),
+        EQUAL: FleetPolicies(placement_of=EqualWork),
+        'random_near': FleetPolicies(placement_of=RandomNear),
+        'two_choices': FleetPolicies(placement_of=TwoChoices),
+        'own_sight': FleetPolicies(placement_of=OwnSight),
+        'summed': FleetPolicies(placement_of=Summed),
+        'admit_all': FleetPolicies(admission_of=AdmitAll),
+        'fixed_limit': FleetPolicies(admission_of=FixedLimit),
+        'share_alone': FleetPolicies(admission_of=ShareAlone),
+        'learned_limit': FleetPolicies(admission_of=LearnedLimit),
+        'wait_target': FleetPolicies(admission_of=WaitTarget),
+        'oldest_first': FleetPolicies(order_of=OldestFirst),
+        'priority_blind': FleetPolicies(order_of=PriorityBlind),
+    },
+)
--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -141,7 +141,7 @@
             centre: rate_by_service.get(service, 0)
             for centre, rate_by_service in rates_by_centre.items()
         }
-        slots_by_centre = _slots_of(directory.of_service(service))
+        slots_by_centre = slots_by_centre_of(directory.of_service(service))
         share_by_centre = shares_of(home, slots_by_centre, rate_by_centre, tolerated)
         for centre, share in share_by_centre.items():
             shares.append(FlowShare(service, centre, share))
@@ -190,7 +190,7 @@
     return {name: share * below for name, below in below_by_centre.items() if below > 0}
 
 
-def _slots_of(upstreams: Iterable[Upstream]) -> dict[str, int]:
+def slots_by_centre_of(upstreams: Iterable[Upstream]) -> dict[str, int]:
     """Return the slots of upstreams by data centre."""
     slots_by_centre: dict[str, int] = {}
     for upstream in upstreams:
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -1,6 +1,8 @@
 """Settle where the flows of a data centre go, from what balancers tell each other."""
 
+from bronzekeel.core.routing.admission import slots_at
 from bronzekeel.core.routing.balance import RECKON_S, load_at, reckoned
+from bronzekeel.core.routing.overflow import RECKON_ROOM_S, allowances_of, put_in_force
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -26,6 +28,39 @@
     state.balance.settle(shares, loads)
 
 
+def reckon_room(state: RoutingState, now: float) -> None:
+    """Find once in ``RECKON_ROOM_S`` how much room other data centres have.
+
+    The few hosts that other data centres tell reckon it; the others take it from them.
+    """
+    room = state.room
+    if now < room.reckon_at:
+        return
+    room.reckon_at = now + RECKON_ROOM_S
+    load_by_service_by_centre = state.relays.loads_elsewhere(now)
+    room.reckons = bool(load_by_service_by_centre)
+    home = state.peers.me.data_centre
+    if room.reckons:
+        rates_by_centre = state.relays.rates_elsewhere(now)
+        rates_by_centre[home] = rates_of_centre(state, now)
+        room.allowances = allowances_of(
+            state.directory,
+            home,
+            load_by_service_by_centre,
+            rates_by_centre,
+        )
+    else:
+        room.allowances = state.peers.allowances_near(now)
+    services = {allowance.service for allowance in room.allowances}
+    shares = {service: state.admission.share_of(service, now) for service in services}
+    homeless = {
+        service
+        for service in services
+        if not slots_at(state.directory.of_service(service), home, now)
+    }
+    put_in_force(state.directory, home, room.allowances, shares, homeless)
+
+
 def rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
     """Return the requests a second of all callers of this data centre, by service."""
     total = dict(state.balance.meter.by_service)
--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -6,6 +6,7 @@
 """
 
 from bronzekeel.core.routing.model import Upstream, UpstreamEntry
+from bronzekeel.core.routing.pools import Pool
 
 
 #: Seconds that a lapsed entry has to come back after the store does.
@@ -25,6 +26,7 @@
 class Directory:
     """Hold all upstreams by name, by service and by short number.
 
+    `pools_by_service` has the pools of a service by data centre.
     `changes` counts what changed where packets go.
     `ordered` is off only where a test shows what the order by revision is for.
     """
@@ -33,6 +35,7 @@
         """Start with none."""
         self.by_name: dict[str, Upstream] = {}
         self.by_number: dict[int, Upstream] = {}
+        self.pools_by_service: dict[str, dict[str, Pool]] = {}
         self._by_service: dict[str, dict[str, Upstream]] = {}
         self.unsettled_until: float = 0
         self.newest_revision = 0
@@ -49,6 +52,27 @@
         """Return the upstreams of a service in the order in which they came, gone ones too."""
         return list(self._by_service.get(service, {}).values())
 
+    def pools_of(self, data_centre: str) -> list[Pool]:
+        """Return the pools of all services in a data centre."""
+        return [
+            pool_by_centre[data_centre]
+            for pool_by_centre in self.pools_by_service.values()
+            if data_centre in pool_by_centre
+        ]
+
+    def pools_elsewhere(self, data_centre: str) -> dict[tuple[str, str], Pool]:
+        """Return the pools of other data centres by service and data centre."""
+        return {
+            (service, centre): pool
+            for service, pool_by_centre in self.pools_by_service.items()
+            for centre, pool in pool_by_centre.items()
+            if centre != data_centre
+        }
+
+    def is_strained(self, data_centre: str, now: float) -> bool:
+        """Whether requests wait for room at a data centre's upstreams."""
+        return any(pool.queued_s(now) for pool in self.pools_of(data_centre))
+
     def account_for(self, revision: int) -> None:
         """Note that every change up to `revision` is known."""
         self.newest_revision = max(self.newest_revision, revision)
@@ -130,12 +154,17 @@
         Two upstreams may fold to the same short number.  The first keeps it;
         the other gets no flows, since its packets would go to the first.
         """
-        upstream = Upstream(entry, now)
+        upstream = Upstream(entry, now, self._pool_of(entry))
         holder = self.by_number.setdefault(entry.short_number, upstream)
         self.by_name[entry.name] = upstream
         if holder is upstream:
             self._by_service.setdefault(entry.service, {})[entry.name] = upstream
 
+    def _pool_of(self, entry: UpstreamEntry) -> Pool:
+        """Return the pool that an upstream belongs to; pools are few and stay."""
+        by_centre = self.pools_by_service.setdefault(entry.service, {})
+        return by_centre.setdefault(entry.data_centre, Pool(entry.service, entry.data_centre))
+
     def _remove(self, name: str) -> None:
         entry = self.by_name.pop(name).entry
         holder = self.by_number.get(entry.short_number)
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -117,6 +117,8 @@
             opened_here = flow is not None and not flow.answered
             flow = self._adopt(packet.flow, upstream, now)
             flow.answered = not opened_here
+        elif not flow.answered and upstream is not None:
+            upstream.pool.note_way(now - flow.opened_at)
         if not flow.answered:
             flow.answered = True
             _note_answered(upstream)
@@ -145,8 +147,7 @@
             flow.acknowledged = acknowledged
             flow.repeats = 0
             if flow.busy:
-                self.answers.observe(now - flow.asked_at)
-                self._mark_idle(flow)
+                self._note_answer(flow, now)
         if not asks:
             return
         if sequence == flow.sequence:
@@ -197,6 +198,12 @@
         self._by_key[key] = flow
         return flow
 
+    def _note_answer(self, flow: Flow, now: float) -> None:
+        self.answers.observe(now - flow.asked_at)
+        if flow.upstream is not None:
+            flow.upstream.pool.answered += 1
+        self._mark_idle(flow)
+
     def _mark_busy(self, flow: Flow, now: float) -> None:
         flow.asked_at = now
         self._busy_by_key[flow.key] = flow
@@ -204,6 +211,7 @@
         if not flow.busy and flow.upstream is not None:
             flow.busy = True
             flow.upstream.busy_flows += 1
+            flow.upstream.pool.busy += 1
             flow.upstream.asked += 1
             service = flow.upstream.entry.service
             self.requests_by_service[service] = self.requests_by_service.get(service, 0) + 1
@@ -213,6 +221,7 @@
         if flow.busy and flow.upstream is not None:
             flow.busy = False
             flow.upstream.busy_flows -= 1
+            flow.upstream.pool.busy -= 1
 
 
 def _close(flow: Flow) -> None:
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
+from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.state import RoutingState
@@ -33,15 +34,21 @@
 ) -> Heartbeat:
     """Return what hosts of other data centres need.
 
-    Who this is, how new its views are, and what its data centre's callers ask for.
+    Who this is, how new its views are, what its data centre's callers ask for, and how
+    much of its upstreams that takes.
     """
+    rate_by_service = _largest(rates_of_centre(state, now), MOST_RATES)
     return Heartbeat(
         state.peers.me,
         state.text_revision,
         state.directory.newest_revision,
         {},
         others,
-        _largest(rates_of_centre(state, now), MOST_RATES),
+        rate_by_service,
+        load_by_service={
+            service: load_at(state.directory, state.peers.me.data_centre, service)
+            for service in rate_by_service
+        },
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
@@ -63,6 +70,7 @@
         state.peers.some_others(state.peers.me.data_centre, now),
         _largest(state.balance.meter.by_service, MOST_RATES),
         state.balance.shares if state.reckons else None,
+        allowances=state.room.allowances if state.room.reckons else None,
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -21,6 +21,18 @@
         self.share = share
 
 
+class Allowance:
+    """Say how many requests of a data centre's callers another one has room for."""
+
+    __slots__ = ('data_centre', 'requests', 'service')
+
+    def __init__(self, service: str, data_centre: str, requests: float) -> None:
+        """Let `requests` of `service` be in progress at `data_centre`."""
+        self.service = service
+        self.data_centre = data_centre
+        self.requests = requests
+
+
 class PeerAddress:
     """Say where a balancer takes what its peers tell."""
 
@@ -43,12 +55,16 @@
     number of their upstream.  `rate_by_service` has the requests a second of its
     callers, or to other data centres those of all its data centre.  `shares` are
     those that it reckoned, None if it has heard too little from other data centres.
-    `others` are peers that it knows.
+    `load_by_service` tells other data centres how many requests of its data centre's callers
+    are in progress there, for each slot.  `allowances` say what others have room for, None if it
+    has heard too little from them.  `others` are peers that it knows.
     """
 
     __slots__ = (
+        'allowances',
         'busy_by_number',
         'direct',
+        'load_by_service',
         'lost',
         'others',
         'rate_by_service',
@@ -69,6 +85,8 @@
         rate_by_service: Mapping[str, float] = _NO_RATES,
         shares: tuple[FlowShare, ...] | None = None,
         *,
+        load_by_service: Mapping[str, float] = _NO_RATES,
+        allowances: tuple[Allowance, ...] | None = None,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -81,6 +99,8 @@
         self.others = others
         self.rate_by_service = rate_by_service
         self.shares = shares
+        self.load_by_service = load_by_service
+        self.allowances = allowances
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -4,6 +4,9 @@
 the dark until its first packet is forwarded.
 """
 
+from bronzekeel.core.routing.pools import Pool
+
+
 #: Bits of a connection id: both ends of a flow echo four bytes.
 CONNECTION_ID_BITS = 32
 _CONNECTION_ID_MASK = (1 << CONNECTION_ID_BITS) - 1
@@ -20,19 +23,34 @@
         self.weight = weight
 
 
+#: Seconds after which callers of a route give a request up when the text does not say.
+#: Source: the shortest that the users' texts give for requests of 50 ms.
+USUAL_TIMEOUT_S = 1.0
+
+
 class Route:
     """Say which services take the new flows of one address and port.
 
-    `key` is the address and the port as six bytes.
+    `key` is the address and the port as six bytes.  Requests of the smallest `priority` go
+    first when not all can; their callers give up after `timeout_s` seconds.
     """
 
-    __slots__ = ('key', 'seal', 'shares')
+    __slots__ = ('key', 'priority', 'seal', 'shares', 'timeout_s')
 
-    def __init__(self, key: bytes, shares: tuple[ServiceShare, ...], seal: int) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        shares: tuple[ServiceShare, ...],
+        seal: int,
+        priority: int = 0,
+        timeout_s: float = USUAL_TIMEOUT_S,
+    ) -> None:
         """Keep the route with the `seal` that marks its connection ids."""
         self.key = key
         self.shares = shares
         self.seal = seal
+        self.priority = priority
+        self.timeout_s = timeout_s
 
 
 class RoutingText:
@@ -119,7 +137,8 @@
     `shared_load` what that makes of it for a slot;
     `unanswered` counts opening packets in a row that nothing came of, for
     which it gets no new flows before `avoided_until`.  `asked` counts the requests that this
-    balancer saw of late, new flows too.
+    balancer saw of late, new flows too.  `pool` counts what is in progress at all upstreams of
+    its service in its data centre.
     """
 
     __slots__ = (
@@ -132,15 +151,17 @@
         'left',
         'missing_at',
         'open_flows',
+        'pool',
         'removed_revision',
         'shared_load',
         'unanswered',
         'warm_at',
     )
 
-    def __init__(self, entry: UpstreamEntry, now: float) -> None:
+    def __init__(self, entry: UpstreamEntry, now: float, pool: Pool | None = None) -> None:
         """Start with an upstream that was just listed."""
         self.entry = entry
+        self.pool = pool or Pool(entry.service, entry.data_centre)
         self.warm_at = now + entry.cold_s
         self.missing_at: float | None = None
         self.gone_at: float = 0
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -6,10 +6,10 @@
 hears from its neighbours before it could find them.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from zlib import crc32
 
-from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress
+from bronzekeel.core.routing.messages import Allowance, FlowShare, Heartbeat, PeerAddress
 
 
 #: Least interval in seconds between two heartbeats to the same peer.  Source:
@@ -223,15 +223,23 @@
 
     def shares_near(self, now: float) -> tuple[FlowShare, ...]:
         """Return the shares that a living neighbour reckoned last, none if nobody did."""
-        newest_at: float = 0
-        shares: tuple[FlowShare, ...] = ()
+        newest = self._newest_near(now, lambda heartbeat: heartbeat.shares is not None)
+        return (newest and newest.shares) or ()
+
+    def allowances_near(self, now: float) -> tuple[Allowance, ...]:
+        """Return the allowances that a living neighbour reckoned last, none if nobody did."""
+        newest = self._newest_near(now, lambda heartbeat: heartbeat.allowances is not None)
+        return (newest and newest.allowances) or ()
+
+    def _newest_near(self, now: float, has: Callable[[Heartbeat], bool]) -> Heartbeat | None:
+        """Return the newest heartbeat of a living neighbour that `has` something."""
+        newest: Peer | None = None
         for peer in self.living(now):
-            if peer.heartbeat is None or peer.heartbeat.shares is None:
+            if peer.heartbeat is None or not has(peer.heartbeat):
                 continue
-            if peer.newest_at > newest_at:
-                newest_at = peer.newest_at
-                shares = peer.heartbeat.shares
-        return shares
+            if newest is None or peer.newest_at > newest.newest_at:
+                newest = peer
+        return newest.heartbeat if newest else None
 
     def _is_near(self, peer: Peer) -> bool:
         return peer.address.data_centre == self.me.data_centre
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -13,13 +13,6 @@
 #: also serves its first flows worst.
 COLD_FACTOR = 2.0
 
-#: Load that an upstream of another data centre is taken to have beside what is
-#: seen of it: flows that its own data centre sends there, and the distance.
-#: Source: with 2, a burst that is everywhere sends all flows elsewhere at once; with
-#: 3, a data centre that is short of upstreams lets more callers wait
-#: (docs/DESIGN.md, "Placement").
-FAR_LOAD = 2.5
-
 
 class Placement(ABC):
     """Choose among upstreams; every policy answers one load pattern."""
@@ -39,8 +32,7 @@
     started early, and a data centre loses upstreams while others idle.  What
     this balancer has in progress at each upstream keeps new flows from busy ones;
     among equals the one that was asked for least gets them, so that upstreams of
-    one kind get equal work.  Another data centre gets them when they would wait for
-    more than ``FAR_LOAD`` requests a slot at home by all that balancers tell.
+    one kind get equal work.  Another data centre gets them when the own one has none.
 
     Equal upstreams, forty seconds of usual load, three and twelve balancers a data
     centre (`bronzekeel bench placement`, mean of eight seeds): the busiest has 1.04
@@ -113,10 +105,8 @@
     centre, and is still better than nobody.
     """
     silent = now < upstream.avoided_until
-    load = load_of(upstream, now)
-    if upstream.entry.data_centre != near:
-        load += FAR_LOAD
-    return (silent, upstream.missing_at is not None, load)
+    far = upstream.entry.data_centre != near
+    return (silent, upstream.missing_at is not None, far, load_of(upstream, now))
 
 
 def load_of(upstream: Upstream, now: float) -> float:
--- /dev/null
+++ b/src/bronzekeel/core/routing/pools.py
@@ -0,0 +1,98 @@
+"""Count what this balancer has in progress at the upstreams of one service in one data centre."""
+
+#: What no number of requests reaches.
+NO_LIMIT = float('inf')
+
+#: Requests in progress for each slot of the upstreams from which further ones wait: one that
+#: is worked on, and one that begins the moment it ends.  Source: `bronzekeel bench placement`,
+#: twelve balancers a data centre: at nine tenths of what upstreams can do 0.6% of answers are
+#: late with 1.75 and 0.1% with 2; at three times the usual 0.889 and 0.879 of what perfect
+#: sight earns is earned, and less with more.
+REQUESTS_A_SLOT = 2.0
+
+#: Weight of the newest flow in the mean time on the way.  Source: the newest ten make two
+#: thirds of it.
+_NEWEST_WEIGHT = 0.1
+
+#: Seconds on the way that a flow counts for at most: a longer one waited for something else.
+_MOST_WAY_S = 0.5
+
+#: Seconds for which nothing must have waited for a queue to count as a new one.  Source: twice
+#: the usual work of an upstream; in an overload a queue is empty for a moment now and then.
+CALM_S = 0.1
+
+
+class Pool:
+    """Hold the requests in progress, and how many there may be.
+
+    `busy` counts the requests of this balancer's callers that are in progress there, by own
+    sight.  From `limit` on further ones wait, and up to `allowance` they may come from flows that
+    found no room in the own data centre; `waiting` counts those that do, and the queue
+    of them began at `queued_since`.  `answered` counts the requests whose answers were
+    acknowledged, `refused` the flows that were refused for want of
+    room, and `way_s` is the mean time in seconds that a packet and what comes
+    back for it are on the way between caller, balancer and upstream, without any work.
+    """
+
+    __slots__ = (
+        '_empty_since',
+        'allowance',
+        'answered',
+        'busy',
+        'data_centre',
+        'limit',
+        'queued_since',
+        'refused',
+        'service',
+        'waiting',
+        'way_s',
+    )
+
+    def __init__(self, service: str, data_centre: str) -> None:
+        """Start with nothing in progress and no limit."""
+        self.service = service
+        self.data_centre = data_centre
+        self.busy = 0
+        self.limit = NO_LIMIT
+        self.allowance: float = 0
+        self.waiting = 0
+        self.queued_since: float = 0
+        self.answered = 0
+        self.refused = 0
+        self.way_s: float = 0
+        self._empty_since: float = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a further request may begin at once; those that wait come first."""
+        return self.busy < self.limit and not self.waiting
+
+    @property
+    def has_allowance(self) -> bool:
+        """Whether a flow that found no room in its own data centre may come here."""
+        return self.busy < self.allowance
+
+    def enter(self, now: float) -> None:
+        """Note that one more request waits."""
+        if not self.waiting and now >= self._empty_since + CALM_S:
+            self.queued_since = now
+        self.waiting += 1
+
+    def leave(self, now: float) -> None:
+        """Note that a request waits no longer."""
+        self.waiting -= 1
+        self._empty_since = now
+
+    def queued_s(self, now: float) -> float:
+        """Return for how long requests have waited here, with breaks of less than ``CALM_S``."""
+        if not self.waiting and now >= self._empty_since + CALM_S:
+            return 0
+        return now - self.queued_since
+
+    def note_way(self, way_s: float) -> None:
+        """Take the seconds from an opening packet to the next packet of its flow."""
+        way_s = min(way_s, _MOST_WAY_S)
+        if not self.way_s:
+            self.way_s = way_s
+            return
+        self.way_s += (way_s - self.way_s) * _NEWEST_WEIGHT
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -8,7 +8,7 @@
 from types import MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.balancing import reckon_balance
+from bronzekeel.core.routing.balancing import reckon_balance, reckon_room
 from bronzekeel.core.routing.effects import DropWaiting, Effect, End, WriteLine
 from bronzekeel.core.routing.events import (
     CallFailed,
@@ -239,7 +239,11 @@
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
-    effects = _follow_on(state, now)
+    reckon_room(state, now)
+    state.admission.reckon(now)
+    pools = state.directory.pools_of(state.peers.me.data_centre)
+    effects = state.overloads.look(pools, now)
+    effects.extend(_follow_on(state, now))
     effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
     if state.stopping.is_done(now):
--- a/src/bronzekeel/core/routing/relays.py
+++ b/src/bronzekeel/core/routing/relays.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from zlib import crc32
 
-from bronzekeel.core.routing.messages import PeerAddress
+from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.peers import SILENT_INTERVALS, Peer, PeerTable, rank_of
 
 
@@ -21,6 +21,10 @@
 #: (3 s) remains; 24 datagrams of 150 bytes a second among three data centres.
 RELAY_S = 1.0
 
+#: The same while requests wait in the own data centre.  What goes wrong without it: a burst is
+#: everywhere, and each data centre sends its flows to another that had room a second ago.
+STRAINED_RELAY_S = 0.25
+
 
 class Relays:
     """Choose whom to tell, and find who elsewhere knows more."""
@@ -28,17 +32,19 @@
     def __init__(self, peers: PeerTable) -> None:
         """Choose among `peers`."""
         self._peers = peers
-        self._due_at: float = 0
+        self._told_at: float = 0
         self._turn = 0
 
-    def due(self, now: float, *, direct: bool) -> list[tuple[str, int]]:
+    def due(self, now: float, *, direct: bool, strained: bool) -> list[tuple[str, int]]:
         """Return the addresses in other data centres that are to be told now.
 
-        Only the first of those whose watches work (`direct`) tell.
+        Only the first of those whose watches work (`direct`) tell, and more often while the data
+        centre is `strained`.
         """
-        if now < self._due_at:
+        interval_s = STRAINED_RELAY_S if strained else RELAY_S
+        if now < self._told_at + interval_s:
             return []
-        self._due_at = now + RELAY_S
+        self._told_at = now
         if not direct or self._working_before(now) >= RELAYS:
             return []
         told: list[tuple[str, int]] = []
@@ -67,13 +73,30 @@
 
         Requests a second by service, by data centre.
         """
-        rates_by_centre: dict[str, Mapping[str, float]] = {}
+        return {
+            centre: heartbeat.rate_by_service
+            for centre, heartbeat in self._newest_by_centre(now).items()
+        }
+
+    def loads_elsewhere(self, now: float) -> dict[str, Mapping[str, float]]:
+        """Return how busy upstreams of other data centres are, as told last.
+
+        Requests in progress a slot by service, by data centre.
+        """
+        return {
+            centre: heartbeat.load_by_service
+            for centre, heartbeat in self._newest_by_centre(now).items()
+        }
+
+    def _newest_by_centre(self, now: float) -> dict[str, Heartbeat]:
+        """Return the newest heartbeat of each other data centre that is heard."""
+        newest_by_centre: dict[str, Heartbeat] = {}
         for centre, peers in self._peers.elsewhere_by_centre().items():
             fresh = [peer for peer in peers if peer.heartbeat and _is_fresh(peer, now)]
             fresh.sort(key=lambda peer: peer.newest_at)
             if fresh and fresh[-1].heartbeat is not None:
-                rates_by_centre[centre] = fresh[-1].heartbeat.rate_by_service
-        return rates_by_centre
+                newest_by_centre[centre] = fresh[-1].heartbeat
+        return newest_by_centre
 
     def _told_of(self, peers: list[Peer], now: float) -> list[tuple[str, int]]:
         """Return whom of one data centre to tell: those heard first, all others in turn."""
--- a/src/bronzekeel/core/routing/shared_load.py
+++ b/src/bronzekeel/core/routing/shared_load.py
@@ -69,4 +69,4 @@
             usual = (busy - upstream.busy_elsewhere) / other_slots
             load = upstream.busy_elsewhere / upstream.entry.slots
             beyond = max(0, load - usual * OUTLIER_FACTOR - OUTLIER_SLACK)
-        upstream.shared_load = busy / slots + beyond
+        upstream.shared_load = beyond
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -40,7 +40,13 @@
     if near:
         effects.append(SendHeartbeat(near_heartbeat(state, now), near))
     far = state.peers.due_seeds(now, ready=state.ready)
-    far.extend(state.relays.due(now, direct=state.is_direct(now)))
+    far.extend(
+        state.relays.due(
+            now,
+            direct=state.is_direct(now),
+            strained=state.directory.is_strained(state.peers.me.data_centre, now),
+        )
+    )
     if far:
         effects.append(SendHeartbeat(far_heartbeat(state, (), now), far))
     return effects
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -1,14 +1,18 @@
 """Hold the whole state of a balancer that steers by connection ids."""
 
+from bronzekeel.core.routing.admission import Admission, RequestsPerSlot
 from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.flows import FlowTable
 from bronzekeel.core.routing.follower import Collection, Follower
 from bronzekeel.core.routing.model import RoutingText
+from bronzekeel.core.routing.overload import OverloadWatch
+from bronzekeel.core.routing.overflow import RoomElsewhere
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.relays import Relays
 from bronzekeel.core.routing.shared_load import SharedLoads
 from bronzekeel.core.routing.stopping import Stopping
+from bronzekeel.core.routing.waiting import NewestFirst, WaitingOrder, WaitingRequests
 from bronzekeel.core.routing.watch_duty import has_current_watcher, is_watcher
 
 
@@ -23,6 +27,7 @@
     """
 
     __slots__ = (
+        'admission',
         'balance',
         'behind_since',
         'directory',
@@ -30,19 +35,31 @@
         'flows',
         'follower_by_collection',
         'forget_at',
+        'overloads',
         'peers',
         'ready',
         'reckon_at',
         'reckons',
         'relays',
+        'room',
         'shared_loads',
         'stopping',
         'text',
         'told_elsewhere_at',
+        'waiting',
     )
 
-    def __init__(self, peers: PeerTable, stop_within_s: float) -> None:
-        """Start knowing nothing; a stop ends after `stop_within_s` at the latest."""
+    def __init__(
+        self,
+        peers: PeerTable,
+        stop_within_s: float,
+        admission_of: type[Admission] = RequestsPerSlot,
+        order_of: type[WaitingOrder] = NewestFirst,
+    ) -> None:
+        """Start knowing nothing; a stop ends after `stop_within_s` at the latest.
+
+        `admission_of` limits requests in progress, and `order_of` ranks those that wait.
+        """
         self.peers = peers
         self.relays = Relays(peers)
         self.text: RoutingText | None = None
@@ -50,6 +67,15 @@
         self.flows = FlowTable()
         self.shared_loads = SharedLoads()
         self.balance = Balance()
+        self.room = RoomElsewhere()
+        self.waiting = WaitingRequests(order_of())
+        self.overloads = OverloadWatch()
+        self.admission = admission_of(
+            peers.me.data_centre,
+            self.directory,
+            peers,
+            self.balance.meter,
+        )
         self.reckon_at: float = 0
         self.reckons = False
         self.follower_by_collection = {
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -1,5 +1,6 @@
 """Give packets that carry a connection id their verdicts."""
 
+from collections.abc import Iterator
 from zlib import crc32
 
 from bronzekeel.core.routing.connection_ids import opened, sealed
@@ -7,8 +8,10 @@
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
 from bronzekeel.core.routing.model import FlowPacket, Route, ServiceShare, Upstream
 from bronzekeel.core.routing.placement import Placement
+from bronzekeel.core.routing.pools import Pool
 from bronzekeel.core.routing.state import RoutingState
-from bronzekeel.core.routing.verdicts import Deliver, Discard, Reason, Reset, Verdict
+from bronzekeel.core.routing.verdicts import Deliver, Discard, Reason, Reset, Verdict, Wait
+from bronzekeel.core.routing.waiting import WaitingRequest
 from bronzekeel.core.steering.strategy import SteeringStrategy
 
 
@@ -29,6 +32,13 @@
 REPEATS_WHEN_LAPSED = 2
 
 
+#: Seconds after the end of its wait within which an opening packet is refused; later it is
+#: dropped.  What goes wrong without it: a balancer stands still for a second; its callers'
+#: repeats open their flows through another, and when it wakes it resets them.  Source: half
+#: of the 0.2 s between an opening packet and its repeat.
+LATE_REFUSAL_S = 0.1
+
+
 class ConnectionIdSteering(SteeringStrategy[FlowPacket, Verdict]):
     """Steer by connection ids over one balancer's state."""
 
@@ -45,6 +55,44 @@
 
     def decide(self, packet: FlowPacket, now: float) -> Verdict:
         """Return what becomes of `packet`."""
+        waiting = self._state.waiting
+        request = waiting.of_flow(packet.flow)
+        if request is not None:
+            if packet.closes:
+                waiting.end(request, now)
+            elif packet.opens or packet.payload_bytes:
+                waiting.join(request, packet)
+                return Wait()
+        return self._decide(packet, now, may_wait=True)
+
+    def resume(self, now: float) -> Iterator[tuple[FlowPacket, Verdict]]:
+        """Decide on the packets whose requests wait no longer.
+
+        Those that waited long enough are refused if their flow is not open; on an
+        open flow their caller has given them up.
+        """
+        waiting = self._state.waiting
+        request = waiting.take_ended(now)
+        while request is not None:
+            for refused in request.packets:
+                yield refused, self._refuse(refused, request, now)
+            request = waiting.take_ended(now)
+        request = waiting.take_ready(now)
+        while request is not None:
+            for packet in request.packets:
+                yield packet, self._decide(packet, now, may_wait=False)
+            request = waiting.take_ready(now)
+
+    def _refuse(self, packet: FlowPacket, request: WaitingRequest, now: float) -> Verdict:
+        """Refuse a flow that found no room, unless its repeat may have opened it elsewhere."""
+        if not request.opens or now >= request.until + LATE_REFUSAL_S:
+            return Discard(Reason.GIVEN_UP)
+        request.pool.refused += 1
+        refusal = Decision('refused', packet, Reason.OVERLOADED, pool=request.pool)
+        self._decisions.note(refusal, now)
+        return Reset(Reason.OVERLOADED)
+
+    def _decide(self, packet: FlowPacket, now: float, *, may_wait: bool) -> Verdict:
         text = self._state.text
         if text is None:
             return Discard(Reason.NO_TEXT)
@@ -52,8 +100,8 @@
         if route is None:
             return self._without_route(packet, now)
         if packet.opens:
-            return self._open(packet, route, now)
-        return self._continue(packet, route, now)
+            return self._open(packet, route, now, may_wait=may_wait)
+        return self._continue(packet, route, now, may_wait=may_wait)
 
     def _without_route(self, packet: FlowPacket, now: float) -> Verdict:
         """Refuse at once what no text allows, unless a newer text may.
@@ -66,7 +114,14 @@
         self._decisions.note(Decision('refused', packet, Reason.NO_ROUTE), now)
         return Reset(Reason.NO_ROUTE)
 
-    def _open(self, packet: FlowPacket, route: Route, now: float) -> Verdict:
+    def _open(
+        self,
+        packet: FlowPacket,
+        route: Route,
+        now: float,
+        *,
+        may_wait: bool,
+    ) -> Verdict:
         flow = self._state.flows.find(packet.flow)
         if flow is not None and flow.upstream is not None and _is_repeat(packet, flow, now):
             if now < flow.opened_at + COPY_GAP_S or flow.answered:
@@ -77,21 +132,53 @@
         upstream = self._placement.choose(candidates, now)
         if upstream is None:
             return self._without_upstream(packet, now)
+        if may_wait and not upstream.pool.has_room:
+            elsewhere = self._with_room_elsewhere(candidates, now)
+            if elsewhere is None and self._waits(packet, upstream.pool, route, now):
+                return Wait()
+            upstream = elsewhere or upstream
         self._state.flows.place(packet.flow, upstream, now)
         self._decisions.note(Decision('placed', packet, upstream.entry.name, upstream), now)
         return Deliver(upstream, _id_of(upstream, route))
 
+    def _with_room_elsewhere(self, candidates: list[Upstream], now: float) -> Upstream | None:
+        """Return an upstream of another data centre that has room, None if none has."""
+        there = [
+            upstream
+            for upstream in candidates
+            if upstream.pool.has_allowance and now >= upstream.avoided_until
+        ]
+        return self._placement.choose(there, now)
+
+    def _waits(self, packet: FlowPacket, pool: Pool, route: Route, now: float) -> bool:
+        """Let the request that `packet` begins wait if its pool has no room."""
+        waiting = self._state.waiting
+        if pool.has_room or waiting.is_full:
+            return False
+        waiting.add(packet, pool, route, now)
+        return True
+
     def _without_upstream(self, packet: FlowPacket, now: float) -> Verdict:
         if not self._state.is_current(now):
             return Discard(Reason.NO_UPSTREAM)
         self._decisions.note(Decision('refused', packet, Reason.NO_UPSTREAM), now)
         return Reset(Reason.NO_UPSTREAM)
 
-    def _continue(self, packet: FlowPacket, route: Route, now: float) -> Verdict:
+    def _continue(
+        self,
+        packet: FlowPacket,
+        route: Route,
+        now: float,
+        *,
+        may_wait: bool,
+    ) -> Verdict:
         if not packet.connection_id:
             return Discard(Reason.NO_CONNECTION_ID)
         number = opened(packet.connection_id, route.seal)
         upstream = self._state.directory.by_number.get(number)
+        if may_wait and upstream is not None and self._begins_request(packet, upstream):
+            if self._waits(packet, upstream.pool, route, now):
+                return Wait()
         flow = self._state.flows.see(packet, upstream, now)
         if upstream is None:
             return self._to_unknown(packet, flow, now)
@@ -102,6 +189,15 @@
             return Reset(Reason.UPSTREAM_GONE)
         return Deliver(upstream)
 
+    def _begins_request(self, packet: FlowPacket, upstream: Upstream) -> bool:
+        """Whether a packet is the first of a further request on a flow that is known here."""
+        if not packet.payload_bytes or packet.closes or upstream.missing_at is not None:
+            return False
+        flow = self._state.flows.find(packet.flow)
+        if flow is None or flow.upstream is not upstream:
+            return False
+        return not flow.busy and packet.sequence != flow.sequence
+
     def _to_unknown(self, packet: FlowPacket, flow: Flow, now: float) -> Verdict:
         """Reset a flow whose upstream nobody lists, once that is sure.
 
--- a/src/bronzekeel/core/routing/verdicts.py
+++ b/src/bronzekeel/core/routing/verdicts.py
@@ -15,6 +15,8 @@
     NO_CONNECTION_ID = 'no_connection_id'
     UNKNOWN_CONNECTION_ID = 'unknown_connection_id'
     UPSTREAM_GONE = 'upstream_gone'
+    OVERLOADED = 'overloaded'
+    GIVEN_UP = 'given_up'
 
 
 class Deliver:
@@ -60,4 +62,10 @@
         self.reason = reason
 
 
-Verdict = Deliver | Reset | Discard
+class Wait:
+    """Keep a packet until its request has room."""
+
+    __slots__ = ()
+
+
+Verdict = Deliver | Reset | Discard | Wait
--- /dev/null
+++ b/src/bronzekeel/core/routing/waiting.py
@@ -0,0 +1,207 @@
+"""Hold requests that found no room until there is some.
+
+What goes wrong without it: callers ask for more than the upstreams can do.  Queues at the
+upstreams fill, each answer takes as long as a full queue, and those that found it full
+ask again at once.  One notices by answers that are all late while upstreams turn away
+a third of what reaches them.  Held here, requests go on in the order that serves callers
+best, and an upstream gets one when it is about to have a slot.
+
+Three deployments of ten upstreams, 2.6 to 3.6 times the usual requests for five seconds:
+0.76, 0.55 and 0.48 of the worth is earned without it, 0.86, 0.76 and 0.76 with it
+(docs/DECISIONS.md, "Rounds").
+"""
+
+from abc import ABC, abstractmethod
+from heapq import heappop, heappush
+
+from bronzekeel.core.routing.model import FlowPacket, Route
+from bronzekeel.core.routing.pools import Pool
+
+
+#: Seconds that a queue stands before it counts as overload.  What goes wrong without it: all
+#: balancers start anew, what callers sent meanwhile comes at once, and a tenth of it is
+#: refused although it could be served within half a second.  Source: the longest time that
+#: such a backlog took; an overload that is noticed this late costs a tenth of five seconds.
+OVERLOAD_S = 0.5
+
+#: Seconds that an opening packet waits at most before that.  Source: callers repeat one after
+#: 0.2 and 0.6 s; the repeat finds the first, or another balancer.
+MOST_BACKLOG_WAIT_S = 0.4
+
+#: Seconds that an opening packet waits at most in an overload: what cannot be served is
+#: refused at once.  Source: about as long as upstreams work on a request, so the next
+#: slot goes to the most urgent of those that wait; between 10 and 40 ms callers are
+#: served equally well, with 0 the urgent ones are refused as often as the others.
+MOST_OPENING_WAIT_S = 0.02
+
+#: Bytes of packets that wait at most; beyond them requests go on without waiting.  Source: an
+#: eighth of the memory that a balancer may take at the size of docs/CAPACITY.md.
+MOST_WAITING_BYTES = 4_000_000
+
+
+class WaitingRequest:
+    """Hold one request that waits: an opening packet, or the packets of a request on a flow.
+
+    It waits until `until`, a moment of the steady clock, at most.  `ended` tells that it
+    no longer waits.
+    """
+
+    __slots__ = ('ended', 'packets', 'pool', 'priority', 'until')
+
+    def __init__(self, packet: FlowPacket, pool: Pool, priority: int, until: float) -> None:
+        """Wait with the first packet of a request."""
+        self.packets = [packet]
+        self.pool = pool
+        self.priority = priority
+        self.until = until
+        self.ended = False
+
+    @property
+    def opens(self) -> bool:
+        """Whether its flow is not open yet, and may be refused."""
+        return self.packets[0].opens
+
+    @property
+    def size(self) -> int:
+        """Bytes of its packets."""
+        return sum(len(packet.raw) for packet in self.packets)
+
+
+class WaitingOrder(ABC):
+    """Say which of the waiting requests of a pool goes on first."""
+
+    @abstractmethod
+    def rank(self, request: WaitingRequest, number: int) -> tuple[int, int]:
+        """Return the place of the request that came as the `number`th; the smallest goes first."""
+
+
+class NewestFirst(WaitingOrder):
+    """Let the most urgent go first, and of equals the newest.
+
+    Load pattern: more requests than slots, for seconds.  Oldest first, every request waits
+    as long as all that came before it, and all answers are late; newest first, most are in
+    time, and the few that are late already become later.  The published source is "Fail
+    at Scale" (Maurer, ACM Queue 13(8), 2015), which calls it adaptive LIFO.
+
+    Worth on days of bursts, three deployments: 0.77, 0.66 and 0.65 oldest first, 0.86, 0.76
+    and 0.77 newest first.
+    """
+
+    def rank(self, request: WaitingRequest, number: int) -> tuple[int, int]:
+        """Rank by priority, then by who came last."""
+        return request.priority, -number
+
+
+class _Ranked:
+    """Hold the requests that wait for one pool, the first to go on in front."""
+
+    __slots__ = ('_heap', '_order')
+
+    def __init__(self, order: WaitingOrder) -> None:
+        self._order = order
+        self._heap: list[tuple[tuple[int, int], WaitingRequest]] = []
+
+    @property
+    def first(self) -> WaitingRequest | None:
+        """The request that goes on first, None if none waits."""
+        while self._heap and self._heap[0][1].ended:
+            heappop(self._heap)
+        return self._heap[0][1] if self._heap else None
+
+    def add(self, request: WaitingRequest, number: int) -> None:
+        """Take the request that came as the `number`th."""
+        heappush(self._heap, (self._order.rank(request, number), request))
+
+
+class WaitingRequests:
+    """Hold the waiting requests of all pools; of each flow one request waits at most."""
+
+    def __init__(self, order: WaitingOrder) -> None:
+        """Start with none; `order` says who goes on first."""
+        self._order = order
+        self._by_flow: dict[bytes, WaitingRequest] = {}
+        self._ranked_by_pool: dict[Pool, _Ranked] = {}
+        self._by_end: list[tuple[float, int, WaitingRequest]] = []
+        self._number = 0
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._by_flow)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may wait."""
+        return self._bytes >= MOST_WAITING_BYTES
+
+    @property
+    def next_end(self) -> float | None:
+        """When the next of them has waited long enough, None if none waits."""
+        while self._by_end and self._by_end[0][2].ended:
+            heappop(self._by_end)
+        return self._by_end[0][0] if self._by_end else None
+
+    def of_flow(self, flow: bytes) -> WaitingRequest | None:
+        """Return the request of a flow that waits, None if none does."""
+        return self._by_flow.get(flow)
+
+    def add(self, packet: FlowPacket, pool: Pool, route: Route, now: float) -> None:
+        """Let the request that `packet` begins wait for room in `pool`."""
+        pool.enter(now)
+        wait_s = _opening_wait_s(pool, now) if packet.opens else route.timeout_s
+        request = WaitingRequest(packet, pool, route.priority, now + wait_s)
+        self._number += 1
+        self._by_flow[packet.flow] = request
+        self._bytes += request.size
+        if pool not in self._ranked_by_pool:
+            self._ranked_by_pool[pool] = _Ranked(self._order)
+        self._ranked_by_pool[pool].add(request, self._number)
+        heappush(self._by_end, (request.until, self._number, request))
+
+    def join(self, request: WaitingRequest, packet: FlowPacket) -> None:
+        """Let a further packet wait with its request; repeats of a packet are dropped."""
+        if packet.sequence in {other.sequence for other in request.packets}:
+            return
+        request.packets.append(packet)
+        self._bytes += len(packet.raw)
+
+    def end(self, request: WaitingRequest, now: float) -> None:
+        """Let a request wait no longer."""
+        request.ended = True
+        request.pool.leave(now)
+        self._bytes -= request.size
+        self._by_flow.pop(request.packets[0].flow)
+
+    def take_ended(self, now: float) -> WaitingRequest | None:
+        """Take out the next request that has waited long enough, None if none has."""
+        end = self.next_end
+        if end is None or now < end:
+            return None
+        request = self._by_end[0][2]
+        self.end(request, now)
+        return request
+
+    def take_ready(self, now: float) -> WaitingRequest | None:
+        """Take out the first request that has room by now, None if none has."""
+        for pool, ranked in list(self._ranked_by_pool.items()):
+            request = ranked.first
+            if request is None:
+                self._ranked_by_pool.pop(pool)
+                continue
+            if pool.busy >= pool.limit:
+                continue
+            self.end(request, now)
+            return request
+        return None
+
+
+def _opening_wait_s(pool: Pool, now: float) -> float:
+    """Return the seconds that an opening packet may wait for a pool.
+
+    A queue that has just begun may be a backlog that is soon worked off; one that
+    stands is an overload, as in "Controlling Queue Delay" (Nichols and Jacobson, ACM
+    Queue 10(5), 2012), and who waits in it is served too late or not at all.
+    """
+    if pool.queued_s(now) < OVERLOAD_S:
+        return MOST_BACKLOG_WAIT_S
+    return MOST_OPENING_WAIT_S
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -171,6 +171,7 @@
         for effect in effects:
             self._handlers[type(effect)](effect, now)
         self.packets.release_held()
+        self.packets.resume()
 
     def close(self) -> None:
         """Free all sockets."""
--- a/src/bronzekeel/entry/decision_log.py
+++ b/src/bronzekeel/entry/decision_log.py
@@ -45,4 +45,10 @@
             fields['busy'] = upstream.busy_flows
             fields['open'] = upstream.open_flows
             fields['unanswered'] = upstream.unanswered
+        pool = decision.pool
+        if pool is not None:
+            fields['service'] = pool.service
+            fields['in_progress'] = pool.busy
+            fields['limit'] = round(pool.limit, 1)
+            fields['waiting'] = pool.waiting
         self._lines.write(number, fields, now)
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -4,10 +4,26 @@
 processor time to import, for which the smallest hosts would forward nothing.
 """
 
+from collections.abc import Callable
+
 from bronzekeel.core.routing.histograms import BOUNDS_S, Histogram
+from bronzekeel.core.routing.pools import Pool
 from bronzekeel.core.routing.state import RoutingState
 
 
+_POOL_METRICS: tuple[tuple[str, str, str, Callable[[Pool], float]], ...] = (
+    ('requests_in_progress', 'gauge', 'Requests in progress by service.', lambda pool: pool.busy),
+    ('requests_waiting', 'gauge', 'Requests that wait for room.', lambda pool: pool.waiting),
+    (
+        'requests_limit',
+        'gauge',
+        'Requests in progress from which others wait.',
+        lambda pool: pool.limit,
+    ),
+    ('flows_refused_total', 'counter', 'Flows that found no room.', lambda pool: pool.refused),
+)
+
+
 class MetricsPage:
     """Collect lines of one page."""
 
@@ -59,6 +75,10 @@
         {'': lines_left_out},
     )
     page.add('bronzekeel_state', 'gauge', 'State of this balancer.', _gauges(state, now))
+    pools = state.directory.pools_of(state.peers.me.data_centre)
+    for name, kind, helping, figure in _POOL_METRICS:
+        samples = {pool.service: figure(pool) for pool in pools}
+        page.add(f'bronzekeel_{name}', kind, helping, samples)
     page.add_histogram(
         'bronzekeel_answer_seconds',
         'From the last bytes of a request to the acknowledgement of its answer.',
--- a/src/bronzekeel/entry/packets.py
+++ b/src/bronzekeel/entry/packets.py
@@ -7,8 +7,9 @@
 
 from bronzekeel.core.routing.flows import MOST_FLOWS, Flow
 from bronzekeel.core.routing.holding import HeldPackets
+from bronzekeel.core.routing.model import FlowPacket, Upstream
 from bronzekeel.core.routing.steering import ConnectionIdSteering
-from bronzekeel.core.routing.verdicts import Deliver, Reset
+from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict, Wait
 from bronzekeel.entry.loop import Loop
 from bronzekeel.entry.ports import PacketFormat
 
@@ -17,6 +18,7 @@
 _BATCH = 64
 _MOST_DATAGRAM = 2048
 _DELIVERED = 'delivered'
+_WAITED = 'waited'
 _STALE = 'stale'
 
 #: Flows whose path is kept at most; with more all are looked up anew.
@@ -29,11 +31,12 @@
 class _KnownPath:
     """Hold where ordinary packets of one flow go."""
 
-    __slots__ = ('address', 'flow', 'prefix')
+    __slots__ = ('address', 'flow', 'pool', 'prefix')
 
-    def __init__(self, prefix: bytes, address: tuple[str, int], flow: Flow) -> None:
+    def __init__(self, prefix: bytes, upstream: Upstream, flow: Flow) -> None:
         self.prefix = prefix
-        self.address = address
+        self.address = upstream.entry.address
+        self.pool = upstream.pool
         self.flow = flow
 
 
@@ -60,6 +63,7 @@
         self._clock = clock
         self._count_by_fate: dict[str, int] = {}
         self._kept = 0
+        self._resumed_at: float = 0
         self.last_packet_at: float = 0
         self._format = packet_format
         self._steering = steering
@@ -100,16 +104,19 @@
         if self._state.epoch != self._epoch or len(self._path_by_key) > _MOST_PATHS:
             self._epoch = self._state.epoch
             self._path_by_key.clear()
-        for _ in range(_BATCH):
-            try:
-                raw = self._socket.recv(_MOST_DATAGRAM)
-            except BlockingIOError:
-                return
-            except OSError as fault:
-                self._note_fault(f'receive: {fault}', b'')
-                return
-            if not self._forward_ordinary(raw, now):
-                self._take(raw, now)
+        self._read_batch(now)
+        self.resume()
+
+    def resume(self) -> None:
+        """Send on or refuse the requests that wait no longer."""
+        if not self._state.waiting:
+            return
+        for packet, verdict in self._steering.resume(self._clock()):
+            self._apply(packet, verdict)
+        end = self._state.waiting.next_end
+        if end is not None and end != self._resumed_at:
+            self._resumed_at = end
+            self._loop.call_at(end, self.resume)
 
     def release_held(self) -> None:
         """Decide on the packets that came before the state was ready."""
@@ -125,6 +132,18 @@
         while self._reads_one():
             self._count(_STALE)
 
+    def _read_batch(self, now: float) -> None:
+        for _ in range(_BATCH):
+            try:
+                raw = self._socket.recv(_MOST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                self._note_fault(f'receive: {fault}', b'')
+                return
+            if not self._forward_ordinary(raw, now):
+                self._take(raw, now)
+
     def _reads_one(self) -> bool:
         try:
             self._socket.recv(_MOST_DATAGRAM)
@@ -142,6 +161,8 @@
         path = self._path_by_key.get(key)
         if path is None or not path.flow.live:
             return False
+        if payload_bytes and not path.flow.busy and not path.pool.has_room:
+            return False
         self._step(path.flow, now, sequence, acknowledged, payload_bytes > 0)
         self._kept += 1
         try:
@@ -159,14 +180,19 @@
             self._count(packet)
             self._note_fault(packet, raw)
             return
-        verdict = self._steering.decide(packet, now)
+        self._apply(packet, self._steering.decide(packet, now))
+
+    def _apply(self, packet: FlowPacket, verdict: Verdict) -> None:
         if isinstance(verdict, Deliver):
             self._count(_DELIVERED)
-            self._remember_path(raw, verdict)
+            self._remember_path(packet.raw, verdict)
             self._send(
                 *self._format.delivery(packet, verdict.upstream, verdict.connection_id),
             )
             return
+        if isinstance(verdict, Wait):
+            self._count(_WAITED)
+            return
         self._count(verdict.reason)
         if isinstance(verdict, Reset):
             self._send(*self._format.reset(packet))
@@ -177,7 +203,7 @@
         key = self._positions(raw)[1]
         upstream = verdict.upstream
         prefix = self._format.prefix(upstream)
-        self._path_by_key[key] = _KnownPath(prefix, upstream.entry.address, verdict.flow)
+        self._path_by_key[key] = _KnownPath(prefix, upstream, verdict.flow)
 
     def _send(self, raw: bytes, address: tuple[str, int]) -> None:
         """Send a datagram; one that the kernel refuses is lost like any other."""
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -4,12 +4,14 @@
 unreadable: a peer of another version must not be half understood.
 """
 
+from collections.abc import Iterator
 from json import dumps as encode_json
 from json import loads as decode_json
 from typing import Any
 
 from bronzekeel.core.routing.connection_ids import seal_of
 from bronzekeel.core.routing.messages import (
+    Allowance,
     FlowShare,
     Heartbeat,
     MissingEntry,
@@ -27,6 +29,9 @@
 #: Bytes of a route's address and port.
 _KEY_BYTES = 6
 _ENDLESS = float('inf')
+
+#: What routes have in common that are told together: services with weights, priority, seconds.
+_RouteKind = tuple[tuple[tuple[str, int], ...], int, float]
 _FLAGS = ('direct', 'lost', 'stopping')
 
 
@@ -47,6 +52,10 @@
             'rates': [
                 (service, round(rate)) for service, rate in heartbeat.rate_by_service.items()
             ],
+            'loads': [
+                (service, round(load, 2)) for service, load in heartbeat.load_by_service.items()
+            ],
+            'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
         },
     )
@@ -65,6 +74,8 @@
             tuple(_peer_in(other) for other in fields['others']),
             {str(service): _figure_in(rate) for service, rate in fields['rates']},
             None if fields['shares'] is None else _shares_in(fields['shares']),
+            load_by_service={str(service): _figure_in(load) for service, load in fields['loads']},
+            allowances=None if fields['room'] is None else _room_in(fields['room']),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -129,6 +140,20 @@
     )
 
 
+def _room_out(allowances: tuple[Allowance, ...]) -> list[tuple[str, str, float]]:
+    return [
+        (allowance.service, allowance.data_centre, round(allowance.requests, 1))
+        for allowance in allowances
+    ]
+
+
+def _room_in(fields: list[Any]) -> tuple[Allowance, ...]:
+    return tuple(
+        Allowance(str(service), str(data_centre), _figure_in(requests))
+        for service, data_centre, requests in fields
+    )
+
+
 def _figure_in(field: Any) -> float:
     """Return a figure that can be reckoned with: zero or more, and no infinity."""
     figure = float(field)
@@ -138,32 +163,27 @@
 
 
 def _text_out(text: RoutingText) -> dict[str, Any]:
-    """Return a text with its routes grouped by where they lead.
+    """Return a text with its routes grouped by where they lead and how urgent they are.
 
     What goes wrong with a route an object each: a text of two thousand routes
     is 95 KB, and a data centre of thirty hosts with links of 10 Mbit/s takes
     seconds to pass it on.  Grouped it is a quarter of that.
     """
-    keys_by_shares: dict[tuple[tuple[str, int], ...], list[str]] = {}
+    keys_by_kind: dict[_RouteKind, list[str]] = {}
     for route in text.route_by_key.values():
         shares = tuple((share.service, share.weight) for share in route.shares)
-        keys_by_shares.setdefault(shares, []).append(route.key.hex())
+        kind = (shares, route.priority, route.timeout_s)
+        keys_by_kind.setdefault(kind, []).append(route.key.hex())
     return {
         'generation': text.generation,
         'revision': text.revision,
         'idle_s': text.idle_s,
-        'groups': [(shares, ''.join(keys)) for shares, keys in keys_by_shares.items()],
+        'groups': [(*kind, ''.join(keys)) for kind, keys in keys_by_kind.items()],
     }
 
 
 def _text_in(fields: dict[str, Any]) -> RoutingText:
-    route_by_key = {}
-    for listed, keys_hex in fields['groups']:
-        shares = tuple(ServiceShare(str(service), int(weight)) for service, weight in listed)
-        keys = bytes.fromhex(keys_hex)
-        for place in range(0, len(keys), _KEY_BYTES):
-            key = keys[place : place + _KEY_BYTES]
-            route_by_key[key] = Route(key, shares, seal_of(key))
+    route_by_key = {route.key: route for group in fields['groups'] for route in _routes_in(*group)}
     return RoutingText(
         int(fields['generation']),
         int(fields['revision']),
@@ -172,6 +192,19 @@
     )
 
 
+def _routes_in(
+    listed: list[Any],
+    priority: int,
+    timeout_s: float,
+    keys_hex: str,
+) -> Iterator[Route]:
+    shares = tuple(ServiceShare(str(service), int(weight)) for service, weight in listed)
+    keys = bytes.fromhex(keys_hex)
+    for place in range(0, len(keys), _KEY_BYTES):
+        key = keys[place : place + _KEY_BYTES]
+        yield Route(key, shares, seal_of(key), int(priority), _figure_in(timeout_s))
+
+
 def _entry_out(entry: UpstreamEntry) -> dict[str, Any]:
     return {name: getattr(entry, name) for name in UpstreamEntry.__slots__}
 
--- a/src/bronzekeel/explain/story.py
+++ b/src/bronzekeel/explain/story.py
@@ -17,6 +17,8 @@
         LogNumber.TEXT_IN_FORCE,
         LogNumber.PLATFORM_LOST,
         LogNumber.PLATFORM_BACK,
+        LogNumber.OVERLOADED,
+        LogNumber.OVERLOAD_ENDED,
     ),
 )
 
@@ -77,6 +79,12 @@
 
 
 def _tell_refusal(line: LogLine, own: list[LogLine], told: list[LogLine]) -> str:
+    if line.text('by') == 'overloaded':
+        return (
+            f'refused by {line.host}: {line.text("service")} is overloaded, with '
+            f'{line.text("in_progress")} requests in progress of {line.text("limit")} that may '
+            f'be, while {line.text("waiting")} others waited'
+        )
     generation = line.text('generation')
     if line.text('by') != 'no_route':
         return f'refused by {line.host}: the service has no upstream that takes flows'
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -24,7 +24,13 @@
     Unreadable,
 )
 from bronzekeel.core.routing.follower import Collection
-from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.core.routing.model import (
+    USUAL_TIMEOUT_S,
+    Route,
+    RoutingText,
+    ServiceShare,
+    UpstreamEntry,
+)
 from bronzekeel.entry.ports import StoreCalls
 from bronzekeel.platform.calls import (
     TEXT_KIND,
@@ -150,4 +156,11 @@
     )
     if not shares:
         shares = (ServiceShare(str(item['service']), 1),)
-    return Route(key, shares, seal_of(key))
+    timeout_ms = int(item.get('timeoutMs') or 0)
+    return Route(
+        key,
+        shares,
+        seal_of(key),
+        int(item.get('priority') or 0),
+        timeout_ms / _MS if timeout_ms > 0 else USUAL_TIMEOUT_S,
+    )
--- /dev/null
+++ b/src/bronzekeel/replay/load_callers.py
@@ -0,0 +1,345 @@
+"""Model the callers of a replayed load: flows, requests, and how often they try.
+
+Callers either keep flows open for many requests or open one for each.  Packets are lost only
+where a host or an upstream is down.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from bronzekeel.core.routing.model import FlowPacket
+from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict
+from bronzekeel.replay.load_servers import Server
+from bronzekeel.replay.routing_fleet import RoutingFleet
+
+
+#: One way between a caller and a host, and within and between data centres, seconds.
+CALLER_S = 0.003
+_NEAR_S = 0.0001
+_FAR_S = 0.0014
+
+#: When callers repeat an opening packet, and when they give the attempt up, seconds.
+_COPIES_S = (0.2, 0.6)
+_GIVE_UP_S = 1.4
+
+#: When callers repeat a request that their flow's upstream did not get, seconds.
+_REPEATS_S = (0.2, 0.6, 1.4)
+
+#: Attempts at a request, and the seconds before the next one: at once when a flow was
+#: refused, after a short and random wait when an upstream turned the request away.
+_MOST_ATTEMPTS = 3
+_AFTER_REFUSAL_S = 0.001
+_AFTER_TURNED_AWAY_S = (0.005, 0.05)
+
+#: Bytes of a request and of an upstream's word that it turned one away.
+_REQUEST_BYTES = 200
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """Say what callers ask for.
+
+    `key` is the route's address and port.  An answer within `aim_s` earns `worth`, a later one
+    `late_worth`; callers give up after `timeout_s`.  `keeps_flow` tells that they ask on open
+    flows where they have some.
+    """
+
+    name: str
+    key: bytes
+    work_s: float = 0.045
+    work_spread: float = 0.5
+    aim_s: float = 0.2
+    timeout_s: float = 2.0
+    worth: float = 1
+    late_worth: float = 0.3
+    priority: int = 0
+    keeps_flow: bool = False
+
+
+@dataclass(slots=True)
+class Tally:
+    """Count what callers of one kind felt.
+
+    `arrivals` are pairs of the time from the start and the work, `latencies` those of answered
+    requests, all in seconds.
+    """
+
+    kind: RequestKind
+    arrivals: list[tuple[float, float]] = field(default_factory=list)
+    latencies: list[float] = field(default_factory=list)
+    answered_at: list[float] = field(default_factory=list)
+    refused: int = 0
+
+    @property
+    def in_time(self) -> int:
+        """Number of requests that were answered in time."""
+        return sum(latency <= self.kind.aim_s for latency in self.latencies)
+
+    @property
+    def earned(self) -> float:
+        """Worth of all answers."""
+        late = len(self.latencies) - self.in_time
+        return self.in_time * self.kind.worth + late * self.kind.late_worth
+
+    @property
+    def owed(self) -> float:
+        """Worth of all requests if every answer were in time."""
+        return len(self.arrivals) * self.kind.worth
+
+
+class Request:
+    """Hold one request from its caller's first attempt to its end."""
+
+    __slots__ = ('attempts', 'begun_at', 'centre', 'ended', 'tally', 'then', 'work_s')
+
+    def __init__(
+        self,
+        tally: Tally,
+        centre: str,
+        begun_at: float,
+        work_s: float,
+        then: Callable[['Flow | None'], None],
+    ) -> None:
+        """Begin; `then` goes on with the flow that answered, None when the request failed."""
+        self.tally = tally
+        self.centre = centre
+        self.begun_at = begun_at
+        self.work_s = work_s
+        self.then = then
+        self.attempts = 0
+        self.ended = False
+
+
+class Flow:
+    """Hold one flow of a caller through one host."""
+
+    __slots__ = (
+        'acknowledged',
+        'connection_id',
+        'ended',
+        'host',
+        'key',
+        'opened_by',
+        'reached',
+        'sequence',
+        'server',
+    )
+
+    def __init__(self, key: bytes, host: str) -> None:
+        """Start with a flow that is not open."""
+        self.key = key
+        self.host = host
+        self.server: Server | None = None
+        self.opened_by: set[str] = set()
+        self.connection_id = 0
+        self.sequence = 1
+        self.acknowledged = 1
+        self.reached = False
+        self.ended = False
+
+
+class Callers:
+    """Send requests through a fleet's hosts, and count what comes of them."""
+
+    def __init__(
+        self,
+        fleet: RoutingFleet,
+        names_by_centre: dict[str, tuple[str, ...]],
+        server_by_name: dict[str, Server],
+    ) -> None:
+        """Send through the hosts of a data centre at random."""
+        self.fleet = fleet
+        self.waited_for_copy = 0
+        self.opened = 0
+        self.opened_twice = 0
+        self._names_by_centre = names_by_centre
+        self._server_by_name = server_by_name
+        self._numbers = 0
+
+    def send(self, request: Request, flow: Flow | None) -> None:
+        """Send a request on an open flow, or on a new one."""
+        if flow is None:
+            self._open(request)
+            return
+        self.fleet.at(request.tally.kind.timeout_s, partial(self._give_up_on, request, flow))
+        self._ask(flow, request)
+
+    def _open(self, request: Request) -> None:
+        """Open a flow for a request, again and again for as long as callers do."""
+        if request.ended:
+            return
+        given_up = self.fleet.now >= request.begun_at + request.tally.kind.timeout_s
+        if request.attempts >= _MOST_ATTEMPTS or given_up:
+            self._fail(request)
+            return
+        request.attempts += 1
+        self._numbers += 1
+        key = self._numbers.to_bytes(6, 'big') + request.tally.kind.key
+        flow = Flow(key, self._host_in(request.centre))
+        self._send_opening(flow, request, 0)
+        for copy, delay_s in enumerate(_COPIES_S, start=1):
+            self.fleet.at(delay_s, partial(self._send_opening, flow, request, copy))
+        self.fleet.at(_GIVE_UP_S, partial(self._give_up_opening, flow, request))
+
+    def _host_in(self, centre: str) -> str:
+        """Return a host that takes packets, any of them when none does."""
+        names = self._names_by_centre[centre]
+        up = [name for name in names if self.fleet.node_by_name[name].up]
+        return self.fleet.random.choice(up or names)
+
+    def _fail(self, request: Request) -> None:
+        if request.ended:
+            return
+        request.ended = True
+        request.tally.refused += 1
+        request.then(None)
+
+    def _give_up_opening(self, flow: Flow, request: Request) -> None:
+        if flow.server is None and not flow.ended:
+            flow.ended = True
+            self._open(request)
+
+    def _give_up_on(self, request: Request, flow: Flow) -> None:
+        """Close the flow of a request that was not answered in time to be of use."""
+        if request.ended:
+            return
+        self._close(flow)
+        self._fail(request)
+
+    def _close(self, flow: Flow) -> None:
+        flow.ended = True
+        flow.sequence += 1
+        packet = self._packet(flow, 0, closes=True)
+        self.fleet.at(CALLER_S, partial(self._steer, flow, packet, _ignore))
+
+    def _send_opening(self, flow: Flow, request: Request, copy: int) -> None:
+        if flow.server is not None or flow.ended:
+            return
+        packet = FlowPacket(flow.key, flow.key[-6:], 0, 1, copy, 0, opens=True, copy=copy)
+        took = partial(self._take_opening, flow, request, copy)
+        self.fleet.at(CALLER_S, partial(self._steer, flow, packet, took))
+
+    def _take_opening(self, flow: Flow, request: Request, copy: int, verdict: Verdict) -> None:
+        if isinstance(verdict, Reset):
+            self.fleet.at(CALLER_S, partial(self._note_refused, flow, request))
+            return
+        if not isinstance(verdict, Deliver):
+            return
+        server = self._server_by_name[verdict.upstream.entry.name]
+        if server.silent:
+            return
+        flow.opened_by.add(server.name)
+        delay_s = CALLER_S + self._hop_s(flow, server)
+        connection_id = verdict.connection_id
+        opened = partial(self._note_open, flow, request, server, connection_id, copy)
+        self.fleet.at(delay_s, opened)
+
+    def _note_refused(self, flow: Flow, request: Request) -> None:
+        if flow.server is not None or flow.ended:
+            return
+        flow.ended = True
+        self.fleet.at(_AFTER_REFUSAL_S, partial(self._open, request))
+
+    def _note_open(
+        self,
+        flow: Flow,
+        request: Request,
+        server: Server,
+        connection_id: int,
+        copy: int,
+    ) -> None:
+        if flow.server is not None or flow.ended:
+            self.opened_twice += len(flow.opened_by) > 1
+            return
+        self.opened += 1
+        self.waited_for_copy += bool(copy)
+        flow.server = server
+        flow.connection_id = connection_id
+        left_s = request.begun_at + request.tally.kind.timeout_s - self.fleet.now
+        self.fleet.at(max(left_s, 0), partial(self._give_up_on, request, flow))
+        self._ask(flow, request)
+
+    def _ask(self, flow: Flow, request: Request) -> None:
+        """Send a request on an open flow, and again until its upstream has it."""
+        flow.sequence += 1
+        flow.reached = False
+        for delay_s in (0, *_REPEATS_S):
+            self.fleet.at(delay_s, partial(self._send_request, flow, request, flow.sequence))
+
+    def _send_request(self, flow: Flow, request: Request, sequence: int) -> None:
+        """Send a request unless its upstream has it or its flow has gone on."""
+        if flow.reached or flow.ended or flow.sequence != sequence:
+            return
+        packet = self._packet(flow, _REQUEST_BYTES)
+        took = partial(self._take_request, flow, request)
+        self.fleet.at(CALLER_S, partial(self._steer, flow, packet, took))
+
+    def _take_request(self, flow: Flow, request: Request, verdict: Verdict) -> None:
+        if isinstance(verdict, Reset):
+            self.fleet.at(CALLER_S, partial(self._note_reset, flow, request))
+            return
+        if isinstance(verdict, Deliver):
+            server = self._server_by_name[verdict.upstream.entry.name]
+            self.fleet.at(self._hop_s(flow, server), partial(self._reach, flow, request))
+
+    def _note_reset(self, flow: Flow, request: Request) -> None:
+        if flow.ended:
+            return
+        flow.ended = True
+        self.fleet.at(_AFTER_REFUSAL_S, partial(self._open, request))
+
+    def _reach(self, flow: Flow, request: Request) -> None:
+        if flow.server is None or flow.server.silent or flow.reached:
+            return
+        flow.reached = True
+        if not request.ended:
+            flow.server.take(request.work_s, partial(self._answer, flow, request))
+
+    def _answer(self, flow: Flow, request: Request, ran: bool) -> None:  # noqa: FBT001
+        take = self._take_answer if ran else self._take_turned_away
+        self.fleet.at(CALLER_S, partial(take, flow, request))
+
+    def _take_answer(self, flow: Flow, request: Request) -> None:
+        self._acknowledge(flow)
+        if request.ended:
+            return
+        request.ended = True
+        request.tally.latencies.append(self.fleet.now - request.begun_at)
+        request.tally.answered_at.append(self.fleet.now)
+        request.then(flow)
+
+    def _take_turned_away(self, flow: Flow, request: Request) -> None:
+        self._acknowledge(flow)
+        delay_s = self.fleet.random.uniform(*_AFTER_TURNED_AWAY_S)
+        self.fleet.at(delay_s, partial(self._open, request))
+
+    def _acknowledge(self, flow: Flow) -> None:
+        flow.acknowledged += 1
+        self.fleet.at(CALLER_S, partial(self._steer, flow, self._packet(flow, 0), _ignore))
+
+    def _packet(self, flow: Flow, payload_bytes: int, *, closes: bool = False) -> FlowPacket:
+        return FlowPacket(
+            flow.key,
+            flow.key[-6:],
+            flow.connection_id,
+            flow.sequence,
+            flow.acknowledged,
+            payload_bytes,
+            closes=closes,
+        )
+
+    def _steer(self, flow: Flow, packet: FlowPacket, then: Callable[[Verdict], None]) -> None:
+        """Give a packet to its host, to another one of the data centre if that is down."""
+        node = self.fleet.node_by_name[flow.host]
+        if not node.up:
+            flow.host = self._host_in(node.me.data_centre)
+        self.fleet.steer(flow.host, packet, then)
+
+    def _hop_s(self, flow: Flow, server: Server) -> float:
+        near = self.fleet.node_by_name[flow.host].me.data_centre == server.data_centre
+        return _NEAR_S if near else _FAR_S
+
+
+def _ignore(verdict: Verdict) -> None:
+    """Take a verdict that changes nothing for the caller."""
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bronzekeel.core.routing.admission import Admission, RequestsPerSlot
 from bronzekeel.core.routing.effects import (
     DropWaiting,
     Effect,
@@ -37,7 +38,8 @@
 from bronzekeel.core.routing.sharing import FETCH_S, view_since
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
-from bronzekeel.core.routing.verdicts import Verdict
+from bronzekeel.core.routing.verdicts import Verdict, Wait
+from bronzekeel.core.routing.waiting import NewestFirst, WaitingOrder
 from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.replay.routing_store import StoreModel
 from bronzekeel.replay.virtual_time import VirtualTime
@@ -50,6 +52,18 @@
 _SEEDS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class FleetPolicies:
+    """Say how all balancers of a replay decide about load."""
+
+    placement_of: type[Placement] = LeastBusy
+    admission_of: type[Admission] = RequestsPerSlot
+    order_of: type[WaitingOrder] = NewestFirst
+
+
+_Then = Callable[[Verdict], None]
+
+
 @dataclass(slots=True)
 class RoutingNode:
     """Hold one balancer of a replay.
@@ -72,6 +86,8 @@
     watch_by_collection: dict[str, '_Watch'] = field(default_factory=dict)
     lines: Counter[int] = field(default_factory=Counter)
     revisions: list[int] = field(default_factory=list)
+    then_by_packet: dict[FlowPacket, _Then] = field(default_factory=dict)
+    resumes_at: float = 0
 
 
 @dataclass(slots=True)
@@ -89,14 +105,11 @@
         self,
         names_by_centre: dict[str, tuple[str, ...]],
         seed: int = 1,
-        placement_of: type[Placement] = LeastBusy,
+        policies: FleetPolicies | None = None,
     ) -> None:
-        """Set up balancers by data centre; ``start`` starts them.
-
-        ``placement_of`` makes the policy of a balancer in a data centre.
-        """
+        """Set up balancers by data centre; ``start`` starts them."""
         super().__init__(seed)
-        self._placement_of = placement_of
+        self._policies = policies or FleetPolicies()
         self.store = StoreModel()
         self.node_by_name: dict[str, RoutingNode] = {}
         self.cut_centres: set[str] = set()
@@ -109,7 +122,7 @@
             SendHeartbeat: self._beat,
             FetchView: self._fetch,
             DropWaiting: lambda node, effect: None,
-            End: self._note_end,
+            End: _note_end,
         }
         self._node_by_address: dict[tuple[str, int], RoutingNode] = {}
         self._watches: list[_Watch] = []
@@ -121,7 +134,7 @@
         self._seeds = tuple(peer.address for peer in peers[:_SEEDS])
         for peer in peers:
             state = self._fresh(peer)
-            node = RoutingNode(peer, state, self._steering(state))
+            node = RoutingNode(peer, state, _steering(state, self._policies))
             self.node_by_name[peer.name] = node
             self._node_by_address[peer.address] = node
 
@@ -145,8 +158,9 @@
         node.boot += 1
         node.up = True
         node.revisions.clear()
+        node.then_by_packet.clear()
         node.state = self._fresh(node.me)
-        node.steering = self._steering(node.state)
+        node.steering = _steering(node.state, self._policies)
         self._start(node)
 
     def tell_watches(self) -> None:
@@ -168,12 +182,39 @@
         node = self.node_by_name[name]
         return node.steering.decide(packet, self.now)
 
-    def _fresh(self, peer: PeerAddress) -> RoutingState:
-        return RoutingState(PeerTable(peer, self._seeds), _STOP_S)
+    def steer(self, name: str, packet: FlowPacket, then: _Then) -> None:
+        """Give `then` a balancer's verdict on a packet, once it need not wait.
 
-    def _steering(self, state: RoutingState) -> ConnectionIdSteering:
-        placement = self._placement_of(state.peers.me.data_centre, state.balance)
-        return ConnectionIdSteering(state, placement, NoDecisionLog())
+        A balancer that is down loses it, as it does those that wait when it ends.
+        """
+        node = self.node_by_name[name]
+        if not node.up:
+            return
+        verdict = node.steering.decide(packet, self.now)
+        if isinstance(verdict, Wait):
+            node.then_by_packet[packet] = then
+        else:
+            then(verdict)
+        self._resume(node, node.boot)
+
+    def _resume(self, node: RoutingNode, boot: int) -> None:
+        """Pass on what need not wait any more, and come again when the next has waited enough."""
+        if not node.up or node.boot != boot or not node.state.waiting:
+            return
+        for packet, verdict in node.steering.resume(self.now):
+            node.then_by_packet.pop(packet)(verdict)
+        end = node.state.waiting.next_end
+        if end is not None and end != node.resumes_at:
+            node.resumes_at = end
+            self.at(end - self.now, lambda: self._resume(node, boot))
+
+    def _fresh(self, peer: PeerAddress) -> RoutingState:
+        return RoutingState(
+            PeerTable(peer, self._seeds),
+            _STOP_S,
+            self._policies.admission_of,
+            self._policies.order_of,
+        )
 
     def _start(self, node: RoutingNode) -> None:
         boot = node.boot
@@ -192,10 +233,7 @@
         for effect in reduce(node.state, event, self.now):
             self._handlers[type(effect)](node, effect)
         node.revisions.append(node.state.text_revision)
-
-    def _note_end(self, node: RoutingNode, effect: End) -> None:
-        node.ended = True
-        node.up = False
+        self._resume(node, boot)
 
     def _read_page(self, node: RoutingNode, effect: ReadPage) -> None:
         node.calls += 1
@@ -280,6 +318,16 @@
         return node.store == 'serves' and node.me.data_centre not in self.cut_centres
 
 
+def _steering(state: RoutingState, policies: FleetPolicies) -> ConnectionIdSteering:
+    placement = policies.placement_of(state.peers.me.data_centre, state.balance)
+    return ConnectionIdSteering(state, placement, NoDecisionLog())
+
+
+def _note_end(node: RoutingNode, effect: End) -> None:
+    node.ended = True
+    node.up = False
+
+
 def _count_line(node: RoutingNode, effect: WriteLine) -> None:
     node.lines[effect.number] += 1
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -77,6 +77,23 @@
         refused = line(LogNumber.FLOW_REFUSED, 1, flow=_FLOW, by='no_upstream', generation=15)
         self.assertIn('no upstream that takes flows', cause_of(refused))
 
+    def test_refused_in_an_overload(self) -> None:
+        """The service is named, and what was full."""
+        refused = line(
+            LogNumber.FLOW_REFUSED,
+            1,
+            flow=_FLOW,
+            by='overloaded',
+            service='portal',
+            in_progress=7,
+            limit=6.5,
+            waiting=4,
+        )
+        cause = cause_of(refused)
+        self.assertIn('refused by a1: portal is overloaded', cause)
+        self.assertIn('7 requests in progress of 6.5', cause)
+        self.assertIn('4 others waited', cause)
+
     def test_the_first_packet_went_to_a_host_that_was_down(self) -> None:
         """A host that sees repeats only is not the one that the first went to."""
         self.assertIn('a1 saw repeats of the opening packet only', cause_of(placed(1, 'i-1', 2)))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -27,8 +27,8 @@
 )
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
-from tests.routing_cases import entry, ready_state, route, text
-from bronzekeel.core.routing.messages import FlowShare, Heartbeat, PeerAddress, View
+from tests.routing_cases import INTAKE_KEY, PORTAL_KEY, entry, ready_state, route, text
+from bronzekeel.core.routing.messages import Allowance, FlowShare, Heartbeat, PeerAddress, View
 from bronzekeel.core.routing.sharing import view_since
 
 
@@ -195,6 +195,7 @@
             self.fail(found)
         self.assertEqual((7, 9, 12), (found.generation, found.revision, found.idle_s))
         first = found.route_by_key[bytes.fromhex('c612000120fb')]
+        self.assertEqual((2, 2), (first.priority, first.timeout_s))
         self.assertEqual(['huvo'], [share.service for share in first.shares])
         second = found.route_by_key[bytes.fromhex('c612000220fb')]
         self.assertEqual([9, 1], [share.weight for share in second.shares])
@@ -293,6 +294,31 @@
         told = [(share.service, share.data_centre, share.share) for share in back.shares or ()]
         self.assertEqual([('portal', 'dc-b', 0.25)], told)
 
+    def test_loads_and_room_come_back_as_they_were(self) -> None:
+        """How busy a data centre is, and what others have room for."""
+        me = PeerAddress('a1', 'dc-a', ('10.1.0.1', 9))
+        room = (Allowance('portal', 'dc-b', 2.5),)
+        sent = Heartbeat(me, 7, 8, {}, load_by_service={'portal': 1.25}, allowances=room)
+        back = decode_heartbeat(encode_heartbeat(sent))
+        self.assertEqual({'portal': 1.25}, back.load_by_service)
+        told = [(item.service, item.data_centre, item.requests) for item in back.allowances or ()]
+        self.assertEqual([('portal', 'dc-b', 2.5)], told)
+        self.assertIsNone(decode_heartbeat(encode_heartbeat(Heartbeat(me, 7, 8, {}))).allowances)
+
+    def test_how_urgent_a_route_is_comes_back_as_it_was(self) -> None:
+        """Symptom: after a restart from its peers' word a balancer lets feeds go first.
+
+        Sequence: it learns the text from a peer and not from the store.
+        Cause: passing on where routes lead and not how urgent they are.
+        """
+        routes = (route(PORTAL_KEY, 'portal', 1, 0.8), route(INTAKE_KEY, 'portal', 2, 3))
+        back = decode_view(encode_view(View(text(1, *routes), 1, [], [], 1))).text
+        if back is None:
+            self.fail('no text')
+        for sent in routes:
+            told = back.route_by_key[sent.key]
+            self.assertEqual((sent.priority, sent.timeout_s), (told.priority, told.timeout_s))
+
     def test_figures_that_cannot_be_reckoned_with_are_refused(self) -> None:
         """Symptom: a balancer logs a fault at each tick and shares nothing out.
 
@@ -304,6 +330,8 @@
             for sent in (
                 Heartbeat(me, 7, 8, {}, (), {'portal': 77}),
                 Heartbeat(me, 7, 8, {}, (), {}, (FlowShare('portal', 'dc-b', 77),)),
+                Heartbeat(me, 7, 8, {}, load_by_service={'portal': 77}),
+                Heartbeat(me, 7, 8, {}, allowances=(Allowance('portal', 'dc-b', 77),)),
             ):
                 raw = encode_heartbeat(sent).replace(b'77', figure.encode())
                 with self.subTest(figure=figure), self.assertRaises(MessageError):
