Let flows that were given up take no room, and set limits before the first packet

Cause: after all balancers were dark a host sent on the opening packets that had waited, took them for requests in progress for half a second and let living callers wait; before the first tick there was no limit, so 31 requests met four slots.

Change: an opening packet that nothing followed leaves the pool after 0.1 s; limits are reckoned when a host becomes ready.

Ruled out: the time that modules take to load at a start (0.885 s after the kill with and without the new ones). One file of all modules marshalled: 58 to 62 ms of processor time against 51 ms with files of their own, so not built.

--- a/src/bronzekeel/core/routing/admission.py
+++ b/src/bronzekeel/core/routing/admission.py
@@ -38,6 +38,10 @@
 #: and a burst must show within half a second.
 _NEWEST_WEIGHT = 0.3
 
+#: Interval in seconds at which the limits of pools are reckoned that have nothing in progress.
+#: Source: with tens of thousands of upstreams a look at all of them takes milliseconds.
+_IDLE_POOLS_S = 1.0
+
 #: Seconds between two ticks at least, for the rate of answers.
 _LEAST_ELAPSED_S = 0.01
 
@@ -101,14 +105,20 @@
         self._answered_by_pool: dict[Pool, int] = {}
         self._rate_by_pool: dict[Pool, float] = {}
         self._reckoned_at: float = 0
+        self._next_whole_at: float = 0
 
     def reckon(self, now: float) -> None:
-        """Set the limits of the pools of the own data centre that have something to do."""
+        """Set the limits of the pools of the own data centre, of idle ones seldom."""
         elapsed_s = max(now - self._reckoned_at, _LEAST_ELAPSED_S)
         self._reckoned_at = now
+        everything = now >= self._next_whole_at
+        if everything:
+            self._next_whole_at = now + _IDLE_POOLS_S
         for pool in self._directory.pools_of(self._data_centre):
+            if not everything and not pool.busy:
+                continue
             self._note_answers(pool, elapsed_s)
-            pool.limit = self._limit_of(pool, now) if pool.busy else NO_LIMIT
+            pool.limit = self._limit_of(pool, now)
 
     def _note_answers(self, pool: Pool, elapsed_s: float) -> None:
         answered = pool.answered - self._answered_by_pool.get(pool, 0)
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -16,6 +16,14 @@
 #: longest kind of request.
 BUSY_S = 0.5
 
+#: Seconds after which an opening packet that nothing followed no longer takes room.  What goes
+#: wrong without it: callers have given flows up while all balancers were dark; a balancer that
+#: starts sends their opening packets on, takes them for requests in progress, and lets living
+#: callers wait while upstreams idle.  One notices by a limit that is reached for half a second
+#: after a start.  Source: ten times the way between callers and upstreams, and half of
+#: the time after which callers repeat an opening packet.
+OPENING_S = 0.1
+
 #: Flows that are remembered at most; beyond it one leaves for each that comes.
 #: Source: at the size of docs/CAPACITY.md a host has 6,970 flows; at about
 #: 300 bytes each, four times as many stay below 10 MB.
@@ -44,7 +52,8 @@
 
     `answered` tells that the caller got an answer of `upstream`; `repeats`
     counts how often the caller sent its newest bytes again; `live` that the
-    flow is remembered.
+    flow is remembered.  `busy` tells that a request is in progress, `in_pool` that it
+    takes room in its upstream's pool.
     """
 
     __slots__ = (
@@ -53,6 +62,7 @@
         'asked_at',
         'busy',
         'closed',
+        'in_pool',
         'key',
         'live',
         'opened_at',
@@ -75,6 +85,7 @@
         self.repeats = 0
         self.answered = False
         self.busy = False
+        self.in_pool = False
         self.closed = False
 
 
@@ -89,6 +100,7 @@
         """Start with none."""
         self._by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
+        self._opening_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self.answers = Histogram()
         self.requests_by_service: dict[str, int] = {}
 
@@ -107,6 +119,7 @@
         upstream.open_flows += 1
         self._by_key[key] = flow
         self._mark_busy(flow, now)
+        self._opening_by_key[key] = flow
         if len(self._by_key) > MOST_FLOWS:
             self.drop(next(iter(self._by_key)))
 
@@ -121,6 +134,7 @@
             upstream.pool.note_way(now - flow.opened_at)
         if not flow.answered:
             flow.answered = True
+            self._opening_by_key.pop(flow.key, None)
             _note_answered(upstream)
         asks = packet.payload_bytes > 0 or packet.closes
         self.step(flow, now, packet.sequence, packet.acknowledged, asks)
@@ -176,11 +190,11 @@
 
     def expire(self, idle_s: float, now: float) -> None:
         """Forget silent flows, and requests whose end was not seen."""
-        while self._busy_by_key:
-            longest = next(iter(self._busy_by_key))
-            if now < self._busy_by_key[longest].asked_at + BUSY_S:
-                break
-            self._mark_idle(self._busy_by_key[longest])
+        for opening in _older(self._opening_by_key, now - OPENING_S):
+            self._opening_by_key.pop(opening.key)
+            _leave_pool(opening)
+        for flow in _older(self._busy_by_key, now - BUSY_S):
+            self._mark_idle(flow)
         for _ in range(min(len(self._by_key), _SWEPT_FLOWS + len(self._by_key) // _SWEEPS)):
             key = next(iter(self._by_key))
             if now < self._by_key[key].seen_at + idle_s:
@@ -208,20 +222,44 @@
         flow.asked_at = now
         self._busy_by_key[flow.key] = flow
         self._busy_by_key.move_to_end(flow.key)
+        _enter_pool(flow)
         if not flow.busy and flow.upstream is not None:
             flow.busy = True
             flow.upstream.busy_flows += 1
-            flow.upstream.pool.busy += 1
             flow.upstream.asked += 1
             service = flow.upstream.entry.service
             self.requests_by_service[service] = self.requests_by_service.get(service, 0) + 1
 
     def _mark_idle(self, flow: Flow) -> None:
         self._busy_by_key.pop(flow.key, None)
+        self._opening_by_key.pop(flow.key, None)
+        _leave_pool(flow)
         if flow.busy and flow.upstream is not None:
             flow.busy = False
             flow.upstream.busy_flows -= 1
-            flow.upstream.pool.busy -= 1
+
+
+def _older(by_key: OrderedDict[bytes, Flow], asked_until: float) -> list[Flow]:
+    """Return the flows in front whose last request was asked until then."""
+    older = []
+    for flow in by_key.values():
+        if flow.asked_at > asked_until:
+            break
+        older.append(flow)
+    return older
+
+
+def _enter_pool(flow: Flow) -> None:
+    """Let a request in progress take room."""
+    if not flow.in_pool and flow.upstream is not None:
+        flow.in_pool = True
+        flow.upstream.pool.busy += 1
+
+
+def _leave_pool(flow: Flow) -> None:
+    if flow.in_pool and flow.upstream is not None:
+        flow.in_pool = False
+        flow.upstream.pool.busy -= 1
 
 
 def _close(flow: Flow) -> None:
--- a/src/bronzekeel/core/routing/readiness.py
+++ b/src/bronzekeel/core/routing/readiness.py
@@ -5,13 +5,17 @@
 from bronzekeel.core.routing.state import RoutingState
 
 
-def become_ready(state: RoutingState) -> list[Effect]:
-    """Take traffic once text and upstreams are known, from the store or a peer."""
+def become_ready(state: RoutingState, now: float) -> list[Effect]:
+    """Take traffic once text and upstreams are known, from the store or a peer.
+
+    Limits are set first: what callers sent while all balancers were dark comes at once.
+    """
     if state.ready or state.text is None:
         return []
     for follower in state.follower_by_collection.values():
         if not follower.listed:
             return []
+    state.admission.reckon(now)
     state.ready = True
     return [
         WriteLine(
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -83,7 +83,7 @@
     follower.end_listing(names, event.revision)
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
-    effects.extend(become_ready(state))
+    effects.extend(become_ready(state, now))
     effects.extend(_go_on(state, follower, now))
     return effects
 
@@ -95,7 +95,7 @@
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
     follower.revision = max(follower.revision, event.revision)
-    effects.extend(become_ready(state))
+    effects.extend(become_ready(state, now))
     effects.extend(_go_on(state, follower, now))
     if known != (state.text_revision, state.directory.newest_revision):
         effects.extend(announce_change(state, now))
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -104,7 +104,7 @@
         followers[Collection.TEXT].adopt(view.text_followed)
     if view.upstreams_followed:
         followers[Collection.UPSTREAMS].adopt(view.upstreams_followed)
-    effects.extend(become_ready(state))
+    effects.extend(become_ready(state, now))
     effects.extend(_note_news(state, known, now))
     return effects
 
