Tell hosts that start which upstreams live unlisted

Cause: an upstream's entry lapses though it lives; a host that starts then learns from the store what is listed and not what was. It drops the packets of the upstream's flows and takes the callers' repeats, which it caused itself, for the sign that the upstream is gone.

Change: a host asks a neighbour once for the entries that the store no longer has; removals travel with the whole entry. An unknown connection id is reset only once that was asked, or when no neighbour lives. Found by runs of the product's processes under faults.

Ruled out: more repeats before a reset (they tell nothing, however many); a lasting memory of removals in the store (writes for each lapse).

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -100,6 +100,11 @@
         known.warm_at = now + entry.cold_s
         return True
 
+    def remember(self, entry: UpstreamEntry, now: float) -> None:
+        """Know an upstream that the store no longer lists, if it is not known yet."""
+        if entry.name not in self.by_name:
+            self._add(entry, now)
+
     def note_removed(self, name: str, revision: int, now: float) -> Upstream | None:
         """Note that an entry was removed by `revision`; return it if it was there.
 
--- a/src/bronzekeel/core/routing/effects.py
+++ b/src/bronzekeel/core/routing/effects.py
@@ -1,6 +1,6 @@
 """Define what a balancer's decisions ask its adapters to do."""
 
-from bronzekeel.core.routing.messages import Heartbeat
+from bronzekeel.core.routing.messages import Heartbeat, Known
 
 
 class Effect:
@@ -44,20 +44,14 @@
 
 
 class FetchView(Effect):
-    """Ask a peer for what it knows beyond two revisions."""
+    """Ask a peer for what it knows beyond what is known here."""
 
-    __slots__ = ('address', 'text_revision', 'upstreams_revision')
+    __slots__ = ('address', 'known')
 
-    def __init__(
-        self,
-        address: tuple[str, int],
-        text_revision: int,
-        upstreams_revision: int,
-    ) -> None:
+    def __init__(self, address: tuple[str, int], known: Known) -> None:
         """Ask the peer at `address`."""
         self.address = address
-        self.text_revision = text_revision
-        self.upstreams_revision = upstreams_revision
+        self.known = known
 
 
 class WriteLine(Effect):
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -113,32 +113,63 @@
 
 
 class MissingEntry:
-    """Tell that an upstream's entry was removed at `revision`.
+    """Tell that an upstream's `entry` was removed at `revision`.
 
     `gone_in_s` is how much longer it may come back; `left` that it announced
     its leaving before.
     """
 
-    __slots__ = ('gone_in_s', 'left', 'name', 'revision')
+    __slots__ = ('entry', 'gone_in_s', 'left', 'revision')
 
-    def __init__(self, name: str, revision: int, gone_in_s: float, *, left: bool) -> None:
+    def __init__(
+        self,
+        entry: UpstreamEntry,
+        revision: int,
+        gone_in_s: float,
+        *,
+        left: bool,
+    ) -> None:
         """Keep what is known of the missing entry."""
-        self.name = name
+        self.entry = entry
         self.revision = revision
         self.gone_in_s = gone_in_s
         self.left = left
 
 
+class Known:
+    """Say what the asker of a view knows already.
+
+    Revisions of the newest text, of the newest change of upstreams, and of the newest
+    removal; the last is zero for one that has just started, which learns from the
+    store what is listed and not what was.
+    """
+
+    __slots__ = ('removals_revision', 'text_revision', 'upstreams_revision')
+
+    def __init__(
+        self,
+        text_revision: int,
+        upstreams_revision: int,
+        removals_revision: int,
+    ) -> None:
+        """Keep the three revisions."""
+        self.text_revision = text_revision
+        self.upstreams_revision = upstreams_revision
+        self.removals_revision = removals_revision
+
+
 class View:
     """Hold what a balancer knows, or what of it is new to a peer.
 
     `text_followed` and `upstreams_followed` are the store's revisions up to
     which the teller has read; from there a watch can go on.  `text` is None if
     the peer has it.  `newest_revision` is of the newest change of upstreams that
-    the view accounts for; the teller may have forgotten what changed.
+    the view accounts for; the teller may have forgotten what changed.  `all_missing` tells
+    that `missing` has all that the teller remembers.
     """
 
     __slots__ = (
+        'all_missing',
         'entries',
         'missing',
         'newest_revision',
@@ -155,6 +186,8 @@
         missing: list[MissingEntry],
         upstreams_followed: int,
         newest_revision: int = 0,
+        *,
+        all_missing: bool = False,
     ) -> None:
         """Keep the parts of the view."""
         self.text = text
@@ -163,3 +196,4 @@
         self.missing = missing
         self.upstreams_followed = upstreams_followed
         self.newest_revision = newest_revision
+        self.all_missing = all_missing
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -13,7 +13,7 @@
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
-from bronzekeel.core.routing.messages import Heartbeat, MissingEntry, PeerAddress, View
+from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.taking import take_entry, take_removal, take_text
@@ -99,6 +99,7 @@
     for missing in view.missing:
         effects.extend(_take_missing(state, missing, now))
     state.directory.account_for(view.newest_revision)
+    state.knows_missing = state.knows_missing or view.all_missing
     followers = state.follower_by_collection
     if state.text is not None:
         followers[Collection.TEXT].adopt(view.text_followed)
@@ -154,25 +155,20 @@
     return [_fetch_from(state, ahead, now)]
 
 
-def view_since(
-    state: RoutingState,
-    text_revision: int,
-    upstreams_revision: int,
-    now: float,
-) -> View:
-    """Return what this balancer knows beyond two revisions."""
+def view_since(state: RoutingState, known: Known, now: float) -> View:
+    """Return what this balancer knows beyond what is `known`."""
     entries = []
     missing = []
     for upstream in state.directory.by_name.values():
         if upstream.missing_at is None:
-            if upstream.entry.revision > upstreams_revision:
+            if upstream.entry.revision > known.upstreams_revision:
                 entries.append(upstream.entry)
             continue
-        if upstream.removed_revision > upstreams_revision:
+        if upstream.removed_revision > known.removals_revision:
             wait_s = max(0, upstream.gone_at - now)
             missing.append(
                 MissingEntry(
-                    upstream.entry.name,
+                    upstream.entry,
                     upstream.removed_revision,
                     wait_s,
                     left=upstream.left,
@@ -181,19 +177,22 @@
     followers = state.follower_by_collection
     upstreams = followers[Collection.UPSTREAMS]
     return View(
-        state.text if state.text_revision > text_revision else None,
+        state.text if state.text_revision > known.text_revision else None,
         followers[Collection.TEXT].revision,
         entries,
         missing,
         upstreams.revision if upstreams.listed else 0,
         state.directory.newest_revision,
+        all_missing=not known.removals_revision,
     )
 
 
 def _fetch_from(state: RoutingState, peer: PeerAddress, now: float) -> Effect:
     """Ask a peer for what it knows beyond what is known here."""
     state.fetch_until = now + FETCH_S
-    return FetchView(peer.address, state.text_revision, state.directory.newest_revision)
+    newest = state.directory.newest_revision
+    removals = newest if state.knows_missing else 0
+    return FetchView(peer.address, Known(state.text_revision, newest, removals))
 
 
 def _note_news(state: RoutingState, known: tuple[int, int], now: float) -> list[Effect]:
@@ -219,7 +218,8 @@
 
     One that has nothing itself is not asked.  Before this balancer is ready
     any peer will do; later only those of its own data centre, so that no
-    change crosses data centres once for each host.
+    change crosses data centres once for each host.  One of those is asked once for the
+    entries that it remembers and the store no longer has: their upstreams may live.
     """
     if not heartbeat.text_revision:
         return False
@@ -227,13 +227,17 @@
         return True
     if heartbeat.sender.data_centre != state.peers.me.data_centre:
         return False
+    if not state.knows_missing:
+        return True
     return heartbeat.knows_more(state.text_revision, state.directory.newest_revision)
 
 
 def _take_missing(state: RoutingState, missing: MissingEntry, now: float) -> list[Effect]:
     """Take a removal; the teller knows how long the entry may still come back."""
-    effects = take_removal(state, missing.name, missing.revision, now)
-    upstream = state.directory.by_name.get(missing.name)
+    name = missing.entry.name
+    state.directory.remember(missing.entry, now)
+    effects = take_removal(state, name, missing.revision, now)
+    upstream = state.directory.by_name.get(name)
     if effects and upstream is not None:
         upstream.left = missing.left
         upstream.gone_at = max(upstream.gone_at, now + missing.gone_in_s)
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -21,7 +21,8 @@
 
     A view that was asked of a peer is awaited until `fetch_until`; a peer was
     heard to know more than this balancer does at `behind_since`, and one of another
-    data centre at `told_elsewhere_at`; None when none does.  Shares of flows are
+    data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
+    which entries the store no longer has.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
     tell it what their callers ask for.
     """
@@ -35,6 +36,7 @@
         'flows',
         'follower_by_collection',
         'forget_at',
+        'knows_missing',
         'overloads',
         'peers',
         'ready',
@@ -83,6 +85,7 @@
         }
         self.stopping = Stopping(stop_within_s)
         self.ready = False
+        self.knows_missing = False
         self.forget_at: float = 0
         self.fetch_until: float = 0
         self.behind_since: float | None = None
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -203,9 +203,13 @@
         """Reset a flow whose upstream nobody lists, once that is sure.
 
         The entry may be on its way, so the listing must be settled and the
-        caller must have asked in vain for longer than an entry takes.
+        caller must have asked in vain for longer than an entry takes.  Neighbours may
+        remember an upstream that lives unlisted, so one of them must have been asked: it
+        is this balancer that drops the packets, and the repeats tell nothing of the upstream.
         """
-        if flow.repeats < REPEATS_WHEN_LAPSED or not self._state.is_settled(now):
+        asked = self._state.knows_missing or not self._state.peers.living(now)
+        settled = asked and self._state.is_settled(now)
+        if flow.repeats < REPEATS_WHEN_LAPSED or not settled:
             return Discard(Reason.UNKNOWN_CONNECTION_ID)
         self._decisions.note(Decision('reset', packet, Reason.UNKNOWN_CONNECTION_ID), now)
         return Reset(Reason.UNKNOWN_CONNECTION_ID)
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -29,7 +29,7 @@
     StopAsked,
     Ticked,
 )
-from bronzekeel.core.routing.messages import PeerAddress, View
+from bronzekeel.core.routing.messages import Known, PeerAddress, View
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.placement import EqualWork, LeastBusy, Placement
 from bronzekeel.core.routing.reducer import TICK_S, reduce
@@ -238,8 +238,8 @@
             self._lines.left_out,
         )
 
-    def _view_since(self, text_revision: int, upstreams_revision: int) -> View:
-        return view_since(self.state, text_revision, upstreams_revision, monotonic())
+    def _view_since(self, known: Known) -> View:
+        return view_since(self.state, known, monotonic())
 
     def _note_bad_packet(self, kind: str, raw: bytes) -> None:
         self._write(LogNumber.PACKET_BAD, {'kind': kind, 'bytes': len(raw)})
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -90,11 +90,12 @@
             'text_followed': view.text_followed,
             'entries': [_entry_out(entry) for entry in view.entries],
             'missing': [
-                (missing.name, missing.revision, missing.gone_in_s, missing.left)
+                (_entry_out(missing.entry), missing.revision, missing.gone_in_s, missing.left)
                 for missing in view.missing
             ],
             'upstreams_followed': view.upstreams_followed,
             'newest': view.newest_revision,
+            'all_missing': view.all_missing,
         },
     )
 
@@ -111,6 +112,7 @@
             [_missing_in(missing) for missing in fields['missing']],
             int(fields['upstreams_followed']),
             int(fields['newest']),
+            all_missing=bool(fields['all_missing']),
         )
     except _FORMAT_FAULTS as fault:
         raise MessageError(f'view unreadable: {fault!r}') from fault
@@ -225,5 +227,5 @@
 
 
 def _missing_in(fields: list[Any]) -> MissingEntry:
-    name, revision, gone_in_s, left = fields
-    return MissingEntry(str(name), int(revision), float(gone_in_s), left=bool(left))
+    entry, revision, gone_in_s, left = fields
+    return MissingEntry(_entry_in(entry), int(revision), float(gone_in_s), left=bool(left))
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -13,7 +13,7 @@
 
 from bronzekeel.core.routing.effects import FetchView, SendHeartbeat
 from bronzekeel.core.routing.events import Event, HeartbeatHeard, ViewFailed, ViewFetched
-from bronzekeel.core.routing.messages import View
+from bronzekeel.core.routing.messages import Known, View
 from bronzekeel.core.routing.sharing import FETCH_S
 from bronzekeel.entry.http_client import Call, HttpConnection
 from bronzekeel.entry.http_server import (
@@ -42,11 +42,12 @@
 MOST_SENT_AT_ONCE = 2
 
 _PATH = '/view/'
+_REVISIONS = 3
 _BATCH = 64
 _MOST_DATAGRAM = 8192
 
 _Emit = Callable[[Event], None]
-_ViewSince = Callable[[int, int], View]
+_ViewSince = Callable[[Known], View]
 _Fault = Callable[[str, bytes], None]
 
 
@@ -108,7 +109,7 @@
         self._fetch = HttpConnection(self._loop, address)
         self._fetch.ask(
             Call(
-                f'{_PATH}{effect.text_revision}/{effect.upstreams_revision}',
+                _target_of(effect.known),
                 monotonic() + FETCH_S,
                 lambda status, body: self._take_view(address, status, body),
                 lambda problem: self._emit(ViewFailed(address, problem)),
@@ -155,7 +156,12 @@
             return Answer(NOT_FOUND)
         if self._server.sending >= MOST_SENT_AT_ONCE:
             return Answer(UNAVAILABLE)
-        text, _, upstreams = target.removeprefix(_PATH).partition('/')
-        if not text.isdecimal() or not upstreams.isdecimal():
+        revisions = target.removeprefix(_PATH).split('/')
+        if len(revisions) != _REVISIONS or not all(map(str.isdecimal, revisions)):
             return Answer(BAD_REQUEST)
-        return Answer(OK, encode_view(self._view_since(int(text), int(upstreams))))
+        return Answer(OK, encode_view(self._view_since(Known(*map(int, revisions)))))
+
+
+def _target_of(known: Known) -> str:
+    revisions = (known.text_revision, known.upstreams_revision, known.removals_revision)
+    return _PATH + '/'.join(map(str, revisions))
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -305,7 +305,7 @@
             failed = ViewFailed(effect.address, 'no answer')
             self.at(FETCH_S, lambda: self._take(node, boot, failed))
             return
-        view = view_since(peer.state, effect.text_revision, effect.upstreams_revision, self.now)
+        view = view_since(peer.state, effect.known, self.now)
         fetched = ViewFetched(effect.address, view)
         self.at(2 * _PEER_S, lambda: self._take(node, boot, fetched))
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,7 +28,14 @@
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
 from tests.routing_cases import INTAKE_KEY, PORTAL_KEY, entry, ready_state, route, text
-from bronzekeel.core.routing.messages import Allowance, FlowShare, Heartbeat, PeerAddress, View
+from bronzekeel.core.routing.messages import (
+    Allowance,
+    FlowShare,
+    Heartbeat,
+    Known,
+    PeerAddress,
+    View,
+)
 from bronzekeel.core.routing.sharing import view_since
 
 
@@ -274,10 +281,10 @@
         self.assertIsNone(back.shares)
         state = ready_state(entry(1), entry(2))
         state.directory.note_removed(entry(2).name, 40, 0)
-        view = decode_view(encode_view(view_since(state, 0, 0, 0)))
+        view = decode_view(encode_view(view_since(state, Known(0, 0, 0), 0)))
         self.assertEqual([entry(1).address], [told.address for told in view.entries])
         self.assertEqual(
-            [(entry(2).name, 40)], [(gone.name, gone.revision) for gone in view.missing]
+            [(entry(2).name, 40)], [(gone.entry.name, gone.revision) for gone in view.missing]
         )
         if view.text is None:
             self.fail('no text')
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -5,7 +5,7 @@
 from bronzekeel.core.routing.directory import REMEMBERED_S
 from bronzekeel.core.routing.events import ViewFetched
 from bronzekeel.core.routing.follower import NEWS_S, Collection, Follower
-from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
+from bronzekeel.core.routing.messages import Heartbeat, Known, PeerAddress
 from bronzekeel.core.routing.peers import FORGET_S, MOST_PEERS, NAMED_S, SEED_S, PeerTable
 from bronzekeel.core.routing.relays import RELAY_S, RELAYS
 from bronzekeel.core.routing.watch_duty import LONE_WATCHERS, WATCHERS
@@ -342,7 +342,7 @@
         Cause: taking a view because it came last.
         """
         paused = ready_state(entry(1), entry(2))
-        view = view_since(paused, 0, 0, 1)
+        view = view_since(paused, Known(0, 0, 0), 1)
         state = ready_state(entry(1, revision=30, draining=True))
         state.directory.take(entry(2), 1)
         state.directory.note_removed(entry(2).name, 40, 1)
@@ -375,7 +375,7 @@
     def test_only_what_is_new_is_told(self) -> None:
         """A view holds what changed after the asker's revisions."""
         state = ready_state(entry(1), entry(2), entry(3))
-        view = view_since(state, state.text_revision, 2, 1)
+        view = view_since(state, Known(state.text_revision, 2, 2), 1)
         self.assertIsNone(view.text)
         self.assertEqual([entry(3).name], [told.name for told in view.entries])
 
