Add a soak of the real processes under faults from outside

Cause: promises were proved in virtual time and by a few tests with processes; nothing ran the real programs under faults that overlap.

Change: `bronzekeel soak`: balancers as processes, proxies before their ports and the store, callers and upstreams that check each packet.

--- a/src/bronzekeel/commands/main.py
+++ b/src/bronzekeel/commands/main.py
@@ -12,6 +12,7 @@
 from bronzekeel.commands.inspect import EventsCommand, StatusCommand
 from bronzekeel.commands.replay import ReplayCommand
 from bronzekeel.commands.report import ReportCommand
+from bronzekeel.commands.soak import SoakCommand
 from bronzekeel.commands.texts import CheckCommand, DiffCommand, SubmitCommand
 from bronzekeel.version import VERSION
 
@@ -28,6 +29,7 @@
     ReplayCommand,
     BenchCommand,
     DemoCommand,
+    SoakCommand,
 )
 
 
--- /dev/null
+++ b/src/bronzekeel/commands/soak.py
@@ -0,0 +1,66 @@
+"""Run the real programs under faults and check the promises."""
+
+from argparse import ArgumentParser, Namespace
+from asyncio import run
+from pathlib import Path
+from shutil import rmtree
+from tempfile import mkdtemp
+
+from msgspec.json import encode
+from rich.console import Console
+from rich.progress import Progress
+
+from bronzekeel.commands.base import Command, ExitCode
+from bronzekeel.commands.output import complain, say
+from bronzekeel.soak.runner import Soak, SoakReport, keep_failure
+
+
+_SECONDS = 60.0
+_HOSTS = 6
+_LEAST_SECONDS = 20.0
+
+
+class SoakCommand(Command):
+    """Soak."""
+
+    name = 'soak'
+    summary = 'run balancers as processes under faults from outside, and check every promise'
+    example = 'bronzekeel soak --seed 7 --seconds 60 --json'
+
+    def add_options(self, parser: ArgumentParser) -> None:
+        """Offer the seed, how long and how many, and where failures are kept."""
+        parser.add_argument('--seed', type=int, default=1)
+        parser.add_argument('--seconds', type=float, default=_SECONDS)
+        parser.add_argument('--hosts', type=int, default=_HOSTS)
+        parser.add_argument('--json', action='store_true', help='one line of JSON')
+        parser.add_argument('--folder', type=Path, default=Path('out/soak'), metavar='FOLDER')
+
+    def run(self, options: Namespace) -> ExitCode:
+        """Soak; keep logs and schedule of a run that breaks a promise."""
+        if options.seconds < _LEAST_SECONDS:
+            complain(f'--seconds {options.seconds}: faults need {_LEAST_SECONDS:g} at least')
+            return ExitCode.USAGE
+        options.folder.mkdir(parents=True, exist_ok=True)
+        folder = Path(mkdtemp(prefix=f'seed-{options.seed}-', dir=options.folder))
+        soak = Soak(options.seed, options.seconds, options.hosts, folder)
+        with Progress(console=Console(stderr=True)) as progress:
+            task = progress.add_task(f'seed {options.seed}', total=options.seconds)
+            report = run(soak.run(lambda done_s: progress.update(task, completed=done_s)))
+        say(encode(report).decode() if options.json else _as_text(report))
+        if report.ok:
+            rmtree(folder)
+            return ExitCode.DONE
+        complain(f'kept in {folder}; again: {keep_failure(report, folder)}')
+        return ExitCode.REFUSED
+
+
+def _as_text(report: SoakReport) -> str:
+    rows = [f'{count:8}  {name}' for name, count in report.checks.items()]
+    rows.extend(f'never checked: {name}' for name in report.never_checked)
+    rows.extend(report.broken)
+    faults = sum(report.faults.values())
+    rows.append(
+        f'seed {report.seed}: {report.flows} flows, {report.requests} requests, {faults} faults '
+        f'of {len(report.faults)} kinds, {len(report.broken)} promises broken',
+    )
+    return '\n'.join(rows)
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -120,7 +120,7 @@
             self._note_bad_packet,
             {_METRICS_PATH: self._metrics},
         )
-        me.address = (settings.peers[0], self.peers.port)
+        me.address = settings.peers_advertised or (settings.peers[0], self.peers.port)
         self._connection_by_collection = {
             collection.value: HttpConnection(self.loop, settings.store)
             for collection in self.state.follower_by_collection
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -30,7 +30,8 @@
     """Hold all settings of one balancer.
 
     `packets`, `peers`, `readiness` and `store` are addresses; `seeds` are
-    those of some peers.  `readiness_path` is what the fabric's probes ask for;
+    those of some peers.  Peers are told `peers_advertised` in place of `peers` where it is
+    set.  `readiness_path` is what the fabric's probes ask for;
     `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
     """
 
@@ -39,6 +40,7 @@
         'name',
         'packets',
         'peers',
+        'peers_advertised',
         'readiness',
         'readiness_path',
         'seeds',
@@ -53,6 +55,7 @@
         self.data_centre = _text(fields, 'data_centre')
         self.packets = _address(fields, 'packets')
         self.peers = _address(fields, 'peers')
+        self.peers_advertised = _address_or_none(fields, 'peers_advertised')
         self.seeds = _addresses(fields, 'seeds')
         self.readiness = _address(fields, 'readiness')
         self.readiness_path = _text(fields, 'readiness_path')
@@ -115,6 +118,10 @@
     return _checked(_text(fields, name), name)
 
 
+def _address_or_none(fields: Mapping[str, object], name: str) -> tuple[str, int] | None:
+    return _address(fields, name) if name in fields else None
+
+
 def _checked(found: object, name: str) -> tuple[str, int]:
     if not isinstance(found, str):
         raise SettingsError(f'$.{name}: {found!r} is no text')
--- a/src/bronzekeel/platform/start.py
+++ b/src/bronzekeel/platform/start.py
@@ -7,7 +7,8 @@
 from bronzekeel.entry.settings import SettingsError, read_entry_settings
 
 
-_SETTINGS_VARIABLE = 'BRONZEKEEL_NODE_FILE'
+#: Variable in which the platform names the settings file.
+SETTINGS_VARIABLE = 'BRONZEKEEL_NODE_FILE'
 
 
 def serve_on_platform(path: str) -> int:
@@ -36,7 +37,7 @@
 
 def main() -> int:
     """Run with the settings that the platform names; return the exit code."""
-    return serve_on_platform(environ.get(_SETTINGS_VARIABLE, ''))
+    return serve_on_platform(environ.get(SETTINGS_VARIABLE, ''))
 
 
 def _refused(problem: str) -> int:
--- /dev/null
+++ b/src/bronzekeel/soak/fabric.py
@@ -0,0 +1,86 @@
+"""Spray callers' packets over the hosts in rotation, as the platform's routers do."""
+
+from asyncio import create_task, gather, open_connection, sleep, wait_for
+from contextlib import closing, suppress
+from random import Random
+from time import monotonic
+from zlib import crc32
+
+from bronzekeel.soak.hosts import Host
+from bronzekeel.soak.links import Address, Link
+
+
+#: Interval in seconds of probes, and how many in a row must be missed to leave the rotation.
+#: Source: the users' platform.
+_PROBE_S = 0.5
+_MISSES = 2
+
+#: Seconds beyond which the answer to a probe is slow.  When most are, the machine is busy.
+_CALM_ANSWER_S = 0.2
+
+
+class Fabric:
+    """Know which hosts take packets, and choose one for each packet.
+
+    Hosts of a data centre share its callers' flows by a hash; nearly all flows move when one
+    joins or leaves.
+    """
+
+    def __init__(self, hosts: list[Host], random: Random) -> None:
+        """Choose among `hosts`, a list that may grow."""
+        self.link_by_host: dict[str, Link] = {}
+        self._hosts = hosts
+        self._random = random
+        self._misses_by_host: dict[str, int] = {}
+        self._slow_by_host: dict[str, bool] = {}
+
+    async def probe(self) -> None:
+        """Probe all hosts again and again; ends when it is cancelled."""
+        while True:
+            probes = [create_task(self._probe_one(host)) for host in self._hosts]
+            await gather(*probes, sleep(_PROBE_S))
+
+    @property
+    def slow_probes(self) -> int:
+        """Number of hosts whose last probe took long."""
+        return sum(self._slow_by_host.values())
+
+    def in_rotation(self, host: Host) -> bool:
+        """Whether a host takes packets."""
+        return self._misses_by_host.get(host.name, _MISSES) < _MISSES
+
+    def choose(self, flow: bytes, data_centre: str) -> Host:
+        """Return the host that gets a packet: one of the data centre if any can."""
+        near = [host for host in self._hosts if host.data_centre == data_centre]
+        ready = [host for host in near if self.in_rotation(host)]
+        if ready and len(ready) * 2 < len(near):
+            ready = near
+        if not ready:
+            ready = [host for host in self._hosts if self.in_rotation(host)] or self._hosts
+        return ready[crc32(flow) % len(ready)]
+
+    def is_calm(self, packets: Address) -> bool:
+        """Whether nothing unplanned has struck the host that sends from an address."""
+        return all(host.unplanned.in_touch for host in self._hosts if host.packets == packets)
+
+    def passes(self, host: Host) -> bool:
+        """Whether a packet arrives at a host."""
+        link = self.link_by_host.get(host.name)
+        return link is None or link.passes(self._random)
+
+    async def _probe_one(self, host: Host) -> None:
+        ready = False
+        asked_at = monotonic()
+        with suppress(OSError, TimeoutError):
+            ready = await wait_for(_is_ready(host), _PROBE_S)
+        self._slow_by_host[host.name] = monotonic() > asked_at + _CALM_ANSWER_S
+        misses = self._misses_by_host.get(host.name, _MISSES)
+        self._misses_by_host[host.name] = 0 if ready else misses + 1
+
+
+async def _is_ready(host: Host) -> bool:
+    reader, writer = await open_connection(*host.readiness)
+    with closing(writer.transport):
+        writer.write(b'GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+        status = await reader.readline()
+    return b' 200 ' in status
--- /dev/null
+++ b/src/bronzekeel/soak/link_faults.py
@@ -0,0 +1,177 @@
+"""Strike what passes between balancers, their peers, the store, callers and upstreams."""
+
+from abc import abstractmethod
+
+from bronzekeel.soak.fault import Fault
+from bronzekeel.soak.hosts import Host
+from bronzekeel.soak.links import Link
+from bronzekeel.soak.site import CENTRES
+
+
+_LATE_S = 0.4
+_PEERS_LOST_SHARE = 0.2
+_PACKETS_LOST_SHARE = 0.1
+_STRUCK_SHARE = 3
+
+
+class _HostLinks(Fault):
+    """Disturb what passes between some hosts and something else."""
+
+    async def begin(self) -> None:
+        """Disturb a third of the hosts."""
+        count = max(1, len(self.site.hosts) // _STRUCK_SHARE)
+        self._hosts = self.site.random.sample(self.site.hosts, count)
+        for host in self._hosts:
+            host.contact.begin()
+            host.unplanned.begin()
+            self.disturb(host)
+
+    async def end(self) -> None:
+        """Let all pass again."""
+        for host in self._hosts:
+            self.mend(host)
+            host.contact.end()
+            host.unplanned.end()
+
+    @abstractmethod
+    def disturb(self, host: Host) -> None:
+        """Begin for one host."""
+
+    @abstractmethod
+    def mend(self, host: Host) -> None:
+        """End for one host."""
+
+
+class StoreSilentForSome(_HostLinks):
+    """The store says nothing to some hosts and closes nothing."""
+
+    kind = 'store_silent_for_some'
+
+    def disturb(self, host: Host) -> None:
+        """Let nothing pass."""
+        host.store.link.silent = True
+
+    def mend(self, host: Host) -> None:
+        """Let all pass on new connections."""
+        host.store.link.silent = False
+        host.store.reset()
+
+
+class StoreRefusesSome(_HostLinks):
+    """The store turns some hosts away."""
+
+    kind = 'store_refuses_some'
+
+    def disturb(self, host: Host) -> None:
+        """Reset connections, and new ones too."""
+        host.store.refusing = True
+        host.store.reset()
+
+    def mend(self, host: Host) -> None:
+        """Take connections."""
+        host.store.refusing = False
+
+
+class PeersUnheard(_HostLinks):
+    """Some hosts do not hear their peers, which hear them."""
+
+    kind = 'peers_one_way'
+
+    def disturb(self, host: Host) -> None:
+        """Drop what comes in."""
+        host.heartbeats.inward.silent = True
+        host.views.refusing = True
+
+    def mend(self, host: Host) -> None:
+        """Pass it on."""
+        host.heartbeats.inward.silent = False
+        host.views.refusing = False
+
+
+class PeersLate(_HostLinks):
+    """What some hosts hear of their peers is late and partly lost."""
+
+    kind = 'peers_late'
+
+    def disturb(self, host: Host) -> None:
+        """Delay and lose."""
+        host.heartbeats.inward.delay_s = _LATE_S
+        host.heartbeats.inward.lost_share = _PEERS_LOST_SHARE
+
+    def mend(self, host: Host) -> None:
+        """Pass all on at once."""
+        host.heartbeats.inward.delay_s = 0
+        host.heartbeats.inward.lost_share = 0
+
+
+class PacketsLost(_HostLinks):
+    """Links between callers, some hosts and upstreams lose packets."""
+
+    kind = 'packets_lost'
+
+    async def begin(self) -> None:
+        """Disturb upstreams too: their flows see the same loss."""
+        await super().begin()
+        for upstream in self.site.upstreams.values():
+            upstream.contact.begin()
+        self._upstreams = list(self.site.upstreams.values())
+
+    async def end(self) -> None:
+        """End for upstreams too."""
+        await super().end()
+        for upstream in self._upstreams:
+            upstream.contact.end()
+
+    def disturb(self, host: Host) -> None:
+        """Lose a tenth each way."""
+        self.site.fabric.link_by_host[host.name] = Link(lost_share=_PACKETS_LOST_SHARE)
+        for upstream in self.site.upstreams.values():
+            upstream.link_by_host[host.packets[0]] = Link(lost_share=_PACKETS_LOST_SHARE)
+
+    def mend(self, host: Host) -> None:
+        """Lose nothing."""
+        self.site.fabric.link_by_host.pop(host.name, None)
+        for upstream in self.site.upstreams.values():
+            upstream.link_by_host.pop(host.packets[0], None)
+
+
+class CentreCut(Fault):
+    """A data centre is cut off from the others and from the store."""
+
+    kind = 'centre_cut'
+
+    async def begin(self) -> None:
+        """Cut heartbeats, views, the store, and packets to upstreams."""
+        centre = self.site.random.choice(CENTRES)
+        self._inside = [host for host in self.site.hosts if host.data_centre == centre]
+        self._outside = [host for host in self.site.hosts if host.data_centre != centre]
+        self._upstreams = list(self.site.upstreams.values())
+        self._all = self._inside + self._outside
+        for host in self._all:
+            host.contact.begin()
+            host.unplanned.begin()
+        for upstream in self._upstreams:
+            upstream.contact.begin()
+            far = self._outside if upstream.data_centre == centre else self._inside
+            for host in far:
+                upstream.link_by_host[host.packets[0]] = Link(silent=True)
+        for one, others in ((self._inside, self._outside), (self._outside, self._inside)):
+            for host in one:
+                for other in others:
+                    host.heartbeats.link_by_source[other.peers] = Link(silent=True)
+        for host in self._inside:
+            host.store.link.silent = True
+            host.views.refusing = True
+
+    async def end(self) -> None:
+        """Heal."""
+        for host in self._all:
+            host.heartbeats.link_by_source.clear()
+            host.store.link.silent = False
+            host.store.reset()
+            host.views.refusing = False
+            host.contact.end()
+            host.unplanned.end()
+        for upstream in self._upstreams:
+            upstream.link_by_host.clear()
+            upstream.contact.end()
--- /dev/null
+++ b/src/bronzekeel/soak/links.py
@@ -0,0 +1,157 @@
+"""Stand between processes: pass datagrams and streams on, late, in part, or not at all."""
+
+from asyncio import (
+    Server,
+    DatagramProtocol,
+    DatagramTransport,
+    StreamReader,
+    StreamWriter,
+    create_task,
+    gather,
+    get_running_loop,
+    open_connection,
+    sleep,
+    start_server,
+)
+from contextlib import suppress
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+
+Address = tuple[str, int]
+
+_CHUNK = 65536
+_ADDRESSES_A_NET = 250
+
+
+def loopback(net: str, number: int) -> str:
+    """Return the `number`th address that begins with the two octets of `net`."""
+    third, fourth = divmod(number, _ADDRESSES_A_NET)
+    return '.'.join((net, str(third), str(fourth + 1)))
+
+
+@dataclass(slots=True)
+class Link:
+    """Say what happens to what passes one way: `silent` drops all of it."""
+
+    silent: bool = False
+    lost_share: float = 0
+    delay_s: float = 0
+
+    def passes(self, random: Random) -> bool:
+        """Whether a datagram arrives."""
+        return not self.silent and random.random() >= self.lost_share
+
+
+async def bound_datagrams(protocol: DatagramProtocol, address: Address) -> DatagramTransport:
+    """Bind a socket for datagrams that `protocol` takes."""
+    bound = await get_running_loop().create_datagram_endpoint(lambda: protocol, local_addr=address)
+    return bound[0]
+
+
+class DatagramProxy(DatagramProtocol):
+    """Pass datagrams on to one target; links are found by where they come from."""
+
+    def __init__(self, target: Address, random: Random) -> None:
+        """Pass on to `target`."""
+        self.target = target
+        self.link_by_source: dict[Address, Link] = {}
+        self.inward = Link()
+        self._random = random
+        self._transport: DatagramTransport | None = None
+
+    async def open(self, address: Address) -> None:
+        """Bind `address`."""
+        self._transport = await bound_datagrams(self, address)
+
+    def close(self) -> None:
+        """Free the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Pass one datagram on, or not."""
+        outward = self.link_by_source.get(addr[:2], _CLEAR)
+        if not self.inward.passes(self._random) or not outward.passes(self._random):
+            return
+        delay_s = self.inward.delay_s + outward.delay_s
+        if delay_s:
+            get_running_loop().call_later(delay_s, self._pass, data)
+            return
+        self._pass(data)
+
+    def _pass(self, raw: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(raw, self.target)
+
+
+class StreamProxy:
+    """Pass connections on to one target.
+
+    While `refusing` new ones are reset and open ones end; while `link` is silent open ones
+    stay open and carry nothing.
+    """
+
+    def __init__(self, target: Address) -> None:
+        """Pass on to `target`."""
+        self.target = target
+        self.link = Link()
+        self.refusing = False
+        self._server: Server | None = None
+        self._writers: set[StreamWriter] = set()
+
+    async def open(self, address: Address) -> None:
+        """Bind `address`."""
+        self._server = await start_server(self._serve, *address)
+
+    @property
+    def port(self) -> int:
+        """Port that it is bound to."""
+        if self._server is None:
+            raise RuntimeError('not open; call `open` first')
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def close(self) -> None:
+        """End all connections and free the port."""
+        self.reset()
+        if self._server is not None:
+            self._server.close()
+
+    def reset(self) -> None:
+        """End all open connections at once."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        if self.refusing:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        passing = (self._pass(reader, far_writer), self._pass(far_reader, writer))
+        with suppress(OSError):
+            await gather(*(create_task(one_way) for one_way in passing))
+        self._writers -= both
+        for end in both:
+            end.transport.abort()
+
+    async def _pass(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Carry one direction until it ends; what passes while the link is silent is lost."""
+        while chunk := await reader.read(_CHUNK):
+            if self.link.delay_s:
+                await sleep(self.link.delay_s)
+            if self.link.silent:
+                continue
+            writer.write(chunk)
+            await writer.drain()
+        writer.transport.abort()
+
+
+_CLEAR = Link()
--- /dev/null
+++ b/src/bronzekeel/soak/runner.py
@@ -0,0 +1,156 @@
+"""Run one soak from its seed: start, disturb, check, and say what was found."""
+
+from asyncio import Task, create_task, gather, sleep
+from collections import Counter
+from collections.abc import Callable
+from contextlib import aclosing
+from pathlib import Path
+from time import monotonic
+
+from msgspec import Struct
+from msgspec.json import encode
+from msgspec.json import format as pretty
+
+from bronzekeel.soak.checks import Promise
+from bronzekeel.soak.faults import FAULTS
+from bronzekeel.soak.hosts import START_SCRIPT
+from bronzekeel.soak.schedule import Planned, drawn
+from bronzekeel.soak.site import Site
+from bronzekeel.soak.text_probe import TextProbe
+from bronzekeel.soak.traffic import Traffic
+
+
+_LOOK_S = 0.1
+
+#: Seconds by which the soak's own loop may lag; beyond it the machine is busy, and promises with
+#: a time bound hold again once everything has been undisturbed for a while.
+MOST_LAG_S = 0.3
+
+#: Seconds before the end in which callers must be served, and the share of them that must be.
+_LAST_S = (6.0, 2.0)
+_SERVED_SHARE = 0.9
+
+
+class SoakReport(Struct, frozen=True):
+    """Hold what a soak did and found."""
+
+    ok: bool
+    seed: int
+    seconds: float
+    hosts: int
+    broken: list[str]
+    checks: dict[str, int]
+    never_checked: list[str]
+    faults: dict[str, int]
+    flows: int
+    requests: int
+    outcomes: dict[str, int]
+    served_at_the_end: float
+    most_lag_s: float
+    schedule: list[Planned]
+
+
+class Soak:
+    """Own one run."""
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        hosts: int,
+        folder: Path,
+        script: Path = START_SCRIPT,
+    ) -> None:
+        """Keep logs and settings in `folder`; balancers are started by `script`."""
+        self.seed = seed
+        self.seconds = seconds
+        self.hosts = hosts
+        self.folder = folder
+        self.schedule = drawn(seed, seconds)
+        self._site = Site(hosts, seed, folder, script)
+        self._kinds = {fault.kind: fault for fault in FAULTS}
+        self._most_lag_s: float = 0
+        self._played: Counter[str] = Counter()
+
+    async def run(self, advance: Callable[[float], None]) -> SoakReport:
+        """Play the schedule; `advance` is told how many seconds have passed."""
+        async with aclosing(self._site) as site:
+            return await self._play(site, advance)
+
+    async def _play(self, site: Site, advance: Callable[[float], None]) -> SoakReport:
+        await site.open()
+        probing = create_task(site.fabric.probe())
+        await site.until_ready()
+        traffic = Traffic(site)
+        traffic.start()
+        tasks: list[Task[None]] = [probing, create_task(TextProbe(site).run())]
+        faults = create_task(self._disturb(site))
+        await self._pass_time(site, advance)
+        await faults
+        traffic.stop()
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
+        return self._report(site)
+
+    async def _disturb(self, site: Site) -> None:
+        """Begin each fault at its time; they overlap."""
+        began_at = monotonic()
+        playing = []
+        for planned in self.schedule:
+            await sleep(max(0, began_at + planned.at_s - monotonic()))
+            self._played[planned.kind] += 1
+            fault = self._kinds[planned.kind](site, planned.for_s)
+            playing.append(create_task(fault.play()))
+        await gather(*playing)
+
+    async def _pass_time(self, site: Site, advance: Callable[[float], None]) -> None:
+        """Wait for the end, and notice when the machine is too busy to judge times."""
+        began_at = monotonic()
+        looked_at = began_at
+        while looked_at < began_at + self.seconds:
+            await sleep(_LOOK_S)
+            now = monotonic()
+            lag_s = now - looked_at - _LOOK_S
+            self._most_lag_s = max(self._most_lag_s, lag_s)
+            if lag_s > MOST_LAG_S or site.fabric.slow_probes > len(site.hosts) / 2:
+                site.note_busy_machine()
+            looked_at = now
+            advance(min(now - began_at, self.seconds))
+
+    def _report(self, site: Site) -> SoakReport:
+        checks = site.checks
+        served = site.callers.served_share(_LAST_S)
+        if site.store_contact.in_touch:
+            told = f'share of requests served near the end: {served:.2f}'
+            checks.check(Promise.SERVED_AFTER, served >= _SERVED_SHARE, told)
+        for host in site.hosts:
+            wrong = [*host.failures, *host.faults_logged()]
+            told = wrong[0] if wrong else host.name
+            checks.check(Promise.PROCESS_LIVES, not wrong, told)
+        outcomes = {outcome.value: count for outcome, count in site.callers.outcomes.items()}
+        return SoakReport(
+            ok=checks.ok,
+            seed=self.seed,
+            seconds=self.seconds,
+            hosts=self.hosts,
+            broken=checks.broken,
+            checks={promise.name: checks.made[promise] for promise in Promise},
+            never_checked=checks.never_made,
+            faults=dict(self._played),
+            flows=site.callers.flows,
+            requests=sum(site.callers.outcomes.values()),
+            outcomes=outcomes,
+            served_at_the_end=round(served, 4),
+            most_lag_s=round(self._most_lag_s, 3),
+            schedule=self.schedule,
+        )
+
+
+def keep_failure(report: SoakReport, folder: Path) -> str:
+    """Write the report beside the logs of a failed run; return the command that plays it again."""
+    (folder / 'report.json').write_bytes(pretty(encode(report)))
+    size = f'--seconds {report.seconds} --hosts {report.hosts}'
+    again = f'bronzekeel soak --seed {report.seed} {size}'
+    (folder / 'again.txt').write_text(f'{again}\n', encoding='utf-8')
+    return again
--- /dev/null
+++ b/src/bronzekeel/soak/text_probe.py
@@ -0,0 +1,94 @@
+"""Ask every host again and again whether it goes by the newest text, and never by an older one."""
+
+from asyncio import create_task, gather, sleep
+from time import monotonic
+
+from bronzekeel.soak.callers import Outcome
+from bronzekeel.soak.checks import Promise
+from bronzekeel.soak.hosts import Host
+from bronzekeel.soak.links import Address
+from bronzekeel.soak.site import Site
+from bronzekeel.soak.texts import Change
+
+
+_INTERVAL_S = 0.3
+
+#: Seconds after which an accepted text must be in force, and what a busy machine may add.
+#: Source: the users' `configApplyMs`.
+_BOUND_S = 3.0
+_SLACK_S = 0.5
+
+#: Seconds after which a host that went by a text must not go by an older one.  Source: the
+#: users' `rollbackSlackMs`.
+_KEPT_S = 0.25
+
+
+class TextProbe:
+    """Send opening packets of the newest and of the last dropped route to each host."""
+
+    def __init__(self, site: Site) -> None:
+        """Probe the hosts of a site."""
+        self._site = site
+        self._seen_by_start: dict[tuple[str, int], tuple[int, float]] = {}
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            change = self._site.texts.changes[-1]
+            hosts = [host for host in self._site.hosts if self._site.fabric.in_rotation(host)]
+            await gather(sleep(_INTERVAL_S), *(self._probe(host, change) for host in hosts))
+
+    async def _probe(self, host: Host, change: Change) -> None:
+        tasks = [create_task(self._added(host, change))]
+        if change.dropped is not None:
+            tasks.append(create_task(self._dropped(host, change, change.dropped)))
+        await gather(*tasks)
+
+    async def _added(self, host: Host, change: Change) -> None:
+        sent_at, start, outcome = await self._open(host, change.added)
+        if self._site.overloaded or not self._is_newest(change):
+            return
+        refused = outcome is Outcome.REFUSED
+        self._judge(host, change, start, sent_at, refused, 'refused its route')
+        if outcome is Outcome.ANSWERED:
+            self._seen_by_start.setdefault((host.name, start), (0, 0))
+            if self._seen_by_start[host.name, start][0] < change.version:
+                self._seen_by_start[host.name, start] = (change.version, monotonic())
+
+    async def _dropped(self, host: Host, change: Change, route: Address) -> None:
+        sent_at, start, outcome = await self._open(host, route)
+        if self._is_newest(change):
+            answered = outcome is Outcome.ANSWERED
+            self._judge(host, change, start, sent_at, answered, 'served a dropped route')
+
+    async def _open(self, host: Host, route: Address) -> tuple[float, int, Outcome]:
+        sent_at = monotonic()
+        start = host.starts
+        flow = self._site.callers.new_flow(route, host.data_centre)
+        outcome = await self._site.callers.try_open(flow, host.packets)
+        self._site.callers.end(flow)
+        return sent_at, start, outcome
+
+    def _is_newest(self, change: Change) -> bool:
+        """Whether no other text came meanwhile, and the process is the same."""
+        return change is self._site.texts.changes[-1]
+
+    def _judge(
+        self,
+        host: Host,
+        change: Change,
+        start: int,
+        sent_at: float,
+        older: bool,  # noqa: FBT001 (what the probe found)
+        told: str,
+    ) -> None:
+        """Check what a probe found; `older` tells that only an older text allows it."""
+        checks = self._site.checks
+        told = f'{host.name} {told} of version {change.version}'
+        calm = host.contact.in_touch and self._site.store_contact.in_touch
+        due = sent_at > change.accepted_at + _BOUND_S + _SLACK_S
+        if due and calm and host.starts == start:
+            checks.check(Promise.TEXT_IN_FORCE, not older, told)
+        version, seen_at = self._seen_by_start.get((host.name, start), (0, 0))
+        if version >= change.version and sent_at > seen_at + _KEPT_S:
+            checks.check(Promise.TEXT_KEPT, not older, told)
--- /dev/null
+++ b/src/bronzekeel/soak/texts.py
@@ -0,0 +1,60 @@
+"""Write the operators' texts of a soak, and know what each allows."""
+
+from time import monotonic
+from types import MappingProxyType
+
+from bronzekeel.soak.links import Address, loopback
+from bronzekeel.standins.platform import PlatformStandIn
+
+
+FEEDS: Address = ('198.18.0.1', 8443)
+SINGLES: Address = ('198.18.0.1', 443)
+SHEETS: Address = ('198.18.0.2', 443)
+_SERVICE_BY_ADDRESS = MappingProxyType({FEEDS: 'portal', SINGLES: 'portal', SHEETS: 'intake'})
+_CHANGING_PORT = 443
+
+
+class Change:
+    """Hold one text that was accepted: its new route, the route it dropped, and when."""
+
+    __slots__ = ('accepted_at', 'added', 'dropped', 'version')
+
+    def __init__(self, version: int, added: Address, dropped: Address | None) -> None:
+        """Accept it now."""
+        self.version = version
+        self.added = added
+        self.dropped = dropped
+        self.accepted_at = monotonic()
+
+
+class Texts:
+    """Write texts that add a route and drop the one that the text before added."""
+
+    def __init__(self, store: PlatformStandIn) -> None:
+        """Write to `store`."""
+        self.changes: list[Change] = []
+        self._store = store
+        self._version = 0
+        self._extra = 0
+        self._ever_by_service: dict[str, set[Address]] = {}
+
+    def routes_of(self, service: str) -> set[Address]:
+        """Return all addresses that any text sent to a service."""
+        return self._ever_by_service.setdefault(service, set())
+
+    async def change(self, more_routes: int = 0) -> Change:
+        """Put a text in force that differs from the one before."""
+        self._version += 1 + self._version % 3
+        self._extra += more_routes
+        added = (loopback('198.20', len(self.changes)), _CHANGING_PORT)
+        service_by_address = {**_SERVICE_BY_ADDRESS, added: 'portal'}
+        for number in range(self._extra):
+            service_by_address[loopback('198.19', number), _CHANGING_PORT] = 'portal'
+        for address, service in service_by_address.items():
+            self.routes_of(service).add(address)
+        self._store.put_text(self._version, service_by_address)
+        dropped = self.changes[-1].added if self.changes else None
+        change = Change(self._version, added, dropped)
+        self.changes.append(change)
+        await self._store.tell()
+        return change
--- /dev/null
+++ b/src/bronzekeel/soak/traffic.py
@@ -0,0 +1,77 @@
+"""Send what callers ask for: feeds all the time, single requests at random."""
+
+from asyncio import Task, create_task, sleep
+from random import Random
+
+from bronzekeel.soak.callers import Flow
+from bronzekeel.soak.links import Address
+from bronzekeel.soak.site import CENTRES, Site
+from bronzekeel.soak.texts import FEEDS, SHEETS, SINGLES
+
+
+_FEEDS_A_CENTRE = 12
+_FEED_PAUSE_S = 0.4
+_FEED_BYTES = 40
+
+#: Single requests a second in a data centre, and the most bytes of one.
+_SINGLES_A_SECOND = 8.0
+_MOST_BYTES = 3000
+_SHEET_SHARE = 0.2
+_IDEMPOTENT_SHARE = 0.4
+
+#: Requests in progress at most: beyond it nothing new is asked, so that the soak itself keeps up.
+_MOST_IN_PROGRESS = 400
+
+
+class Traffic:
+    """Own the tasks of all callers."""
+
+    def __init__(self, site: Site) -> None:
+        """Ask for what the site serves."""
+        self._site = site
+        self._random = Random(site.random.random())
+        self._tasks: set[Task[object]] = set()
+
+    def start(self) -> None:
+        """Let all callers begin."""
+        for centre in CENTRES:
+            self._run(self._ask_singles(centre))
+            for _ in range(_FEEDS_A_CENTRE):
+                self._run(self._hold_feed(centre))
+
+    def stop(self) -> None:
+        """End all callers."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _run(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _hold_feed(self, centre: str) -> None:
+        """Send request after request on one flow, on another one when it fails."""
+        flow: Flow | None = None
+        while True:
+            await sleep(self._random.expovariate(1 / _FEED_PAUSE_S))
+            flow = await self._site.callers.request(
+                FEEDS,
+                centre,
+                _FEED_BYTES,
+                flow,
+                idempotent=True,
+            )
+
+    async def _ask_singles(self, centre: str) -> None:
+        while True:
+            await sleep(self._random.expovariate(_SINGLES_A_SECOND * self._site.burst))
+            if len(self._tasks) < _MOST_IN_PROGRESS:
+                self._run(self._ask_single(centre))
+
+    async def _ask_single(self, centre: str) -> None:
+        target: Address = SHEETS if self._random.random() < _SHEET_SHARE else SINGLES
+        size = self._random.randrange(_FEED_BYTES, _MOST_BYTES)
+        idempotent = self._random.random() < _IDEMPOTENT_SHARE
+        flow = await self._site.callers.request(target, centre, size, idempotent=idempotent)
+        if flow is not None:
+            self._site.callers.end(flow)
--- a/src/bronzekeel/standins/echo_packets.py
+++ b/src/bronzekeel/standins/echo_packets.py
@@ -2,6 +2,7 @@
 
 from socket import inet_aton, inet_ntoa
 from struct import Struct
+from zlib import crc32
 
 
 SYN = 1
@@ -20,7 +21,16 @@
 class EchoSegment:
     """Hold one packet between the two ends of a flow."""
 
-    __slots__ = ('acknowledged', 'echo', 'flags', 'payload', 'sequence', 'source', 'target')
+    __slots__ = (
+        'acknowledged',
+        'checksum',
+        'echo',
+        'flags',
+        'payload',
+        'sequence',
+        'source',
+        'target',
+    )
 
     def __init__(
         self,
@@ -41,13 +51,20 @@
         self.sequence = sequence
         self.acknowledged = acknowledged
         self.payload = payload
+        self.checksum = 0
+
+    @property
+    def reckoned_checksum(self) -> int:
+        """What the checksum of an unchanged packet is; the echo is not part of it."""
+        fields = (self.source, self.target, self.flags, self.sequence, self.acknowledged)
+        return crc32(repr(fields).encode() + self.payload) or 1
 
 
 def build_echo(segment: EchoSegment) -> bytes:
-    """Return the bytes of a packet; nobody here checks its sum."""
+    """Return the bytes of a packet."""
     head = _HEAD.pack(
         len(segment.payload),
-        0,
+        segment.checksum,
         inet_aton(segment.target[0]),
         segment.source[1],
         segment.target[1],
@@ -63,7 +80,7 @@
 def read_echo(raw: bytes) -> EchoSegment:
     """Return the packet that `build_echo` made."""
     fields = _HEAD.unpack_from(raw)
-    return EchoSegment(
+    segment = EchoSegment(
         (inet_ntoa(fields[5]), fields[3]),
         (inet_ntoa(fields[2]), fields[4]),
         fields[7],
@@ -72,6 +89,8 @@
         acknowledged=fields[9],
         payload=raw[_HEAD.size :],
     )
+    segment.checksum = fields[1]
+    return segment
 
 
 def split_number(raw: bytes) -> tuple[int, bytes]:
