Take upstreams that start again for new ones, and leave out what cannot be read

Cause: an upstream may start again under its name. It stayed in its old pool, with the flows, requests, evidence, cold time and mark of a drain of the process before. And what other writers leave in the store was taken as it stood (slots below zero, port 99999, any state), while one byte that is no text, or an item without meta, made the whole page a failed call for ever, and all upstreams were lost with it.

Change: entries carry the start of their process; a newer start ends all that is known of the former one; what an older start writes late is believed only after three seconds. The service is part of a connection id. One strict reader checks each field; pages and watches are decoded object by object if need be; an entry that turns unreadable takes its upstream out of use and resets nothing.

Ruled out: the start as part of the connection id (hosts that have not heard of it place flows under the old id, and others reset them); taking the newest write for that of the newest start; leaving an older start out for ever (a clock set back).

--- a/src/bronzekeel/core/routing/admission.py
+++ b/src/bronzekeel/core/routing/admission.py
@@ -180,4 +180,4 @@
 
 def _counts(upstream: Upstream, now: float) -> bool:
     """Whether the slots of an upstream are there for new flows."""
-    return upstream.listed and not upstream.entry.draining and now >= upstream.avoided_until
+    return upstream.listed and upstream.entry.takes_flows and now >= upstream.avoided_until
--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -22,6 +22,21 @@
 #: bound on the age of a flow.
 REMEMBERED_S = 60.0
 
+#: Seconds for which the word of an older start must have stood before it is believed.
+#: Source: an upstream that lives writes its entry each 0.8 s or so, and one that does not
+#: write it for three times that is no longer listed.
+OLDER_START_S = 3.0
+
+
+class _OlderStart:
+    """Hold what an older start of an upstream says, to be believed at `believed_at`."""
+
+    __slots__ = ('believed_at', 'entry')
+
+    def __init__(self, entry: UpstreamEntry, believed_at: float) -> None:
+        self.entry = entry
+        self.believed_at = believed_at
+
 
 class Directory:
     """Hold all upstreams by name, by service and by short number.
@@ -42,6 +57,7 @@
         self.ordered = True
         self.changes = 0
         self._lapsed: list[Upstream] = []
+        self._older_by_name: dict[str, _OlderStart] = {}
 
     @property
     def listed_count(self) -> int:
@@ -81,8 +97,17 @@
         """Give entries that lapsed during an outage the time to come back."""
         self.unsettled_until = now + RETURN_GRACE_S
 
+    @property
+    def older_starts(self) -> list[UpstreamEntry]:
+        """Entries of older starts than those that are known; they are not believed yet."""
+        return [older.entry for older in self._older_by_name.values()]
+
     def take(self, entry: UpstreamEntry, now: float) -> bool:
-        """Take a listed entry; return whether it is new or says something new."""
+        """Take a listed entry; return whether it is new or says something new.
+
+        An upstream that started again holds nothing of before: all that is known of its
+        former start ends, and it is put among the upstreams of what it now says.
+        """
         known = self.by_name.get(entry.name)
         self.account_for(entry.revision)
         if known is None:
@@ -90,6 +115,9 @@
             return True
         if self.ordered and entry.revision < max(known.entry.revision, known.removed_revision):
             return False
+        if entry.is_other_start(known.entry):
+            return self._restart(known.entry, entry, now)
+        self._older_by_name.pop(entry.name, None)
         returned = known.missing_at is not None
         known.missing_at = None
         known.left = False
@@ -100,6 +128,25 @@
         known.warm_at = now + entry.cold_s
         return True
 
+    def due_older_starts(self, now: float) -> list[UpstreamEntry]:
+        """Return the entries of older starts that are to be believed now."""
+        return [older.entry for older in self._older_by_name.values() if now >= older.believed_at]
+
+    def withhold(self, name: str, revision: int) -> bool:
+        """Note that `revision` made an entry unreadable; return whether it was in use.
+
+        Its upstream may live: it gets no new flows, and keeps those that it has.
+        """
+        known = self.by_name.get(name)
+        if known is None or revision <= max(known.entry.revision, known.removed_revision):
+            return False
+        self.account_for(revision)
+        self.changes += 1
+        self._older_by_name.pop(name, None)
+        used = known.entry.usable
+        known.entry = known.entry.unusable(revision)
+        return used
+
     def remember(self, entry: UpstreamEntry, now: float) -> None:
         """Know an upstream that the store no longer lists, if it is not known yet."""
         if entry.name not in self.by_name:
@@ -116,6 +163,7 @@
         if known is None or revision < known.entry.revision:
             return None
         known.removed_revision = max(known.removed_revision, revision)
+        self._older_by_name.pop(name, None)
         if known.missing_at is not None:
             return None
         self.changes += 1
@@ -134,6 +182,24 @@
                 continue
             self._remove(name)
 
+    def _restart(self, former: UpstreamEntry, entry: UpstreamEntry, now: float) -> bool:
+        """Put a new start in the place of a former one; return whether that is done.
+
+        What goes wrong without the wait: a call of the former process is carried out after
+        those of the new one, and takes everybody back.  An older start that stays is that of a
+        host whose clock was set back.
+        """
+        older = self._older_by_name.get(entry.name)
+        if entry.started_ms < former.started_ms:
+            believed_at = older.believed_at if older else now + OLDER_START_S
+            if now < believed_at:
+                self._older_by_name[entry.name] = _OlderStart(entry, believed_at)
+                return False
+        self._remove(entry.name)
+        self._add(entry, now)
+        self.changes += 1
+        return True
+
     def _suspect_outage(self, lapsed: Upstream, now: float) -> None:
         """Take entries that lapse together for an outage of the store.
 
@@ -172,6 +238,7 @@
 
     def _remove(self, name: str) -> None:
         entry = self.by_name.pop(name).entry
+        self._older_by_name.pop(name, None)
         holder = self.by_number.get(entry.short_number)
         if holder is not None and holder.entry.name == name:
             self.by_number.pop(entry.short_number)
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -185,6 +185,12 @@
         self._mark_idle(flow)
         _close(flow)
 
+    def drop_of(self, upstream: Upstream) -> None:
+        """Forget the flows of an upstream that no longer holds them."""
+        held = [key for key, flow in self._by_key.items() if flow.upstream is upstream]
+        for key in held:
+            self.drop(key)
+
     def expire_openings(self, now: float) -> None:
         """Take opening packets that nothing followed for unanswered.
 
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -30,7 +30,8 @@
 
     `revision` is the store's revision that is known here; `current_until` is
     when the last answer no longer proves that the view is current; at `doubtful_at`
-    the watch must have told what a peer has told.
+    the watch must have told what a peer has told.  The listing in progress `has_gaps` when
+    objects of it have no name that can be read.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         'doubtful_at',
         'failures',
         'found',
+        'has_gaps',
         'listed',
         'listing_revision',
         'lost',
@@ -56,6 +58,7 @@
         self.doubtful_at: float | None = None
         self.failures = 0
         self.found: set[str] = set()
+        self.has_gaps = False
         self.listed = False
         self.listing_revision: int | None = None
         self.lost = False
@@ -106,6 +109,7 @@
     def begin_listing(self) -> Effect:
         """Ask for the first page."""
         self.found = set()
+        self.has_gaps = False
         self.listing_revision = None
         self.retry_at = None
         return ReadPage(self.collection, '')
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -4,6 +4,8 @@
 the dark until its first packet is forwarded.
 """
 
+from zlib import crc32
+
 from bronzekeel.core.routing.pools import Pool
 
 
@@ -79,9 +81,11 @@
 class UpstreamEntry:
     """Hold what one upstream says of itself in the store.
 
-    `number` is its identity in packets; a process that starts anew gets
-    another one.  `cold_s` is how many more seconds it works slowly, counted
-    from when the entry was read.  `revision` orders entries of one upstream.
+    `number` is its identity in packets.  A process that starts anew may keep it and knows
+    nothing of before: `started_ms` is the Unix millisecond of its start, zero if it does not
+    say.  `cold_s` is how many more seconds it works slowly, counted from when the entry was
+    read.  `revision` orders entries of one upstream.  One that is not `usable` was written
+    over by something that cannot be read; the other fields are those of before.
     """
 
     __slots__ = (
@@ -94,6 +98,8 @@
         'revision',
         'service',
         'slots',
+        'started_ms',
+        'usable',
     )
 
     def __init__(  # noqa: WPS211 (the fields of one record)
@@ -108,6 +114,8 @@
         draining: bool,
         cold_s: float,
         revision: int,
+        started_ms: int = 0,
+        usable: bool = True,
     ) -> None:
         """Keep the fields as they were read."""
         self.name = name
@@ -119,11 +127,50 @@
         self.draining = draining
         self.cold_s = cold_s
         self.revision = revision
+        self.started_ms = started_ms
+        self.usable = usable
 
     @property
     def short_number(self) -> int:
-        """The number folded to the width of a connection id."""
-        return (self.number ^ self.number >> CONNECTION_ID_BITS) & _CONNECTION_ID_MASK
+        """The number and the service folded to the width of a connection id.
+
+        What goes wrong without the service: an upstream starts again under its name in another
+        service, and packets of the flows that it had reach that.
+        """
+        folded = self.number ^ self.number >> CONNECTION_ID_BITS ^ crc32(self.service.encode())
+        return folded & _CONNECTION_ID_MASK
+
+    @property
+    def takes_flows(self) -> bool:
+        """Whether it may get new flows by what it says of itself."""
+        return self.usable and not self.draining
+
+    def is_other_start(self, former: 'UpstreamEntry') -> bool:
+        """Whether this is of another process than `former`, or of one that moved.
+
+        A start that is not told is taken for the same.
+        """
+        if self.service != former.service or self.data_centre != former.data_centre:
+            return True
+        if not self.started_ms or not former.started_ms:
+            return False
+        return self.started_ms != former.started_ms
+
+    def unusable(self, revision: int) -> 'UpstreamEntry':
+        """Return the entry as it stands after `revision` made it unreadable."""
+        return UpstreamEntry(
+            name=self.name,
+            number=self.number,
+            service=self.service,
+            address=self.address,
+            data_centre=self.data_centre,
+            slots=self.slots,
+            draining=self.draining,
+            cold_s=0,
+            revision=revision,
+            started_ms=self.started_ms,
+            usable=False,
+        )
 
 
 class Upstream:
@@ -186,7 +233,7 @@
 
     def takes_flows(self, now: float) -> bool:
         """Whether new flows may be sent to it by what the store says."""
-        return not self.entry.draining and not self.is_gone(now)
+        return self.entry.takes_flows and not self.is_gone(now)
 
 
 class FlowPacket:
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -41,7 +41,13 @@
     announce_change,
 )
 from bronzekeel.core.routing.state import RoutingState
-from bronzekeel.core.routing.taking import take_entry, take_removal, take_text
+from bronzekeel.core.routing.taking import (
+    settle_starts,
+    take_entry,
+    take_removal,
+    take_text,
+    take_unreadable,
+)
 
 
 #: Interval in seconds at which the daemon feeds ``Ticked``.
@@ -76,7 +82,8 @@
     effects = _note_regained(state, follower, now)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
-    names = [listed.name for listed in event.objects]
+    names = [listed.name for listed in event.objects if listed.name]
+    follower.has_gaps |= len(names) < len(event.objects)
     if event.more and names:
         effects.append(follower.next_page(names, event.revision))
         return effects
@@ -168,24 +175,23 @@
     if isinstance(stored.content, UpstreamEntry):
         return take_entry(state, stored.content, now)
     if isinstance(stored.content, Unreadable):
-        return [_bad_object(stored.name, stored.revision, stored.content.problem)]
+        return take_unreadable(state, stored.name, stored.revision, stored.content.problem)
     if follower.collection is Collection.TEXT:
-        return [_bad_object(stored.name, stored.revision, 'removed; the last text stays in force')]
+        removed = 'removed; the last text stays in force'
+        return take_unreadable(state, stored.name, stored.revision, removed)
     return take_removal(state, stored.name, stored.revision, now)
 
 
-def _bad_object(name: str, revision: int, problem: str) -> Effect:
-    """Leave out what cannot be read; what was known before stays in force."""
-    return WriteLine(LogNumber.OBJECT_BAD, object=name, revision=revision, problem=problem)
-
-
 def _remove_unlisted(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
     """Note the upstreams that a complete listing does not have.
 
-    What a peer told of meanwhile may be newer than the listing, so a removal
-    counts from the listing's own revision.
+    One with objects whose names could not be read may have them.  What a peer told of
+    meanwhile may be newer than the listing, so a removal counts from the listing's own
+    revision.
     """
     effects: list[Effect] = []
+    if follower.has_gaps:
+        return effects
     revision = follower.listing_revision or 0
     for name in list(state.directory.by_name):
         if name in follower.found:
@@ -236,13 +242,14 @@
     if now >= state.forget_at:
         state.forget_at = now + _FORGET_EVERY_S
         state.directory.forget_old(now)
+    effects = settle_starts(state, now)
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
     reckon_room(state, now)
     state.admission.reckon(now)
     pools = state.directory.pools_of(state.peers.me.data_centre)
-    effects = state.overloads.look(pools, now)
+    effects.extend(state.overloads.look(pools, now))
     effects.extend(_follow_on(state, now))
     effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -156,12 +156,18 @@
 
 
 def view_since(state: RoutingState, known: Known, now: float) -> View:
-    """Return what this balancer knows beyond what is `known`."""
+    """Return what this balancer knows beyond what is `known`.
+
+    What the store's listing does not tell is told to those that have not asked for it yet:
+    upstreams that are no longer listed, and those whose entries became unreadable.
+    """
     entries = []
     missing = []
     for upstream in state.directory.by_name.values():
         if upstream.missing_at is None:
-            if upstream.entry.revision > known.upstreams_revision:
+            withheld = not upstream.entry.usable
+            seen = known.removals_revision if withheld else known.upstreams_revision
+            if upstream.entry.revision > seen:
                 entries.append(upstream.entry)
             continue
         if upstream.removed_revision > known.removals_revision:
@@ -174,6 +180,9 @@
                     left=upstream.left,
                 ),
             )
+    entries.extend(
+        older for older in state.directory.older_starts if older.revision > known.upstreams_revision
+    )
     followers = state.follower_by_collection
     upstreams = followers[Collection.UPSTREAMS]
     return View(
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -24,7 +24,8 @@
     data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
     which entries the store no longer has.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
-    tell it what their callers ask for.
+    tell it what their callers ask for.  `unreadable_objects` counts what the store told and
+    could not be read.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         'stopping',
         'text',
         'told_elsewhere_at',
+        'unreadable_objects',
         'waiting',
     )
 
@@ -90,6 +92,7 @@
         self.fetch_until: float = 0
         self.behind_since: float | None = None
         self.told_elsewhere_at: float | None = None
+        self.unreadable_objects = 0
 
     @property
     def text_revision(self) -> int:
--- a/src/bronzekeel/core/routing/taking.py
+++ b/src/bronzekeel/core/routing/taking.py
@@ -38,8 +38,22 @@
 
 def take_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
     """Take what an upstream says of itself."""
+    former = state.directory.by_name.get(entry.name)
     if not state.directory.take(entry, now):
         return []
+    if former is not None and state.directory.by_name[entry.name] is not former:
+        state.flows.drop_of(former)
+        return [
+            WriteLine(
+                LogNumber.UPSTREAM_RESTARTED,
+                upstream=entry.name,
+                service=entry.service,
+                address=':'.join(map(str, entry.address)),
+                former_start_ms=former.entry.started_ms,
+                start_ms=entry.started_ms,
+                revision=entry.revision,
+            ),
+        ]
     return [
         WriteLine(
             LogNumber.UPSTREAM_LISTED,
@@ -52,6 +66,29 @@
     ]
 
 
+def take_unreadable(state: RoutingState, name: str, revision: int, problem: str) -> list[Effect]:
+    """Leave out what cannot be read; an upstream whose entry it was gets no new flows."""
+    state.unreadable_objects += 1
+    withheld = state.directory.withhold(name, revision)
+    return [
+        WriteLine(
+            LogNumber.OBJECT_BAD,
+            object=name,
+            revision=revision,
+            problem=problem,
+            withheld=withheld,
+        ),
+    ]
+
+
+def settle_starts(state: RoutingState, now: float) -> list[Effect]:
+    """Believe what older starts of upstreams have said for long."""
+    effects: list[Effect] = []
+    for entry in state.directory.due_older_starts(now):
+        effects.extend(take_entry(state, entry, now))
+    return effects
+
+
 def take_removal(state: RoutingState, name: str, revision: int, now: float) -> list[Effect]:
     """Note that the store no longer has an entry."""
     missed = state.directory.note_removed(name, revision, now)
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -68,6 +68,12 @@
     page = MetricsPage()
     page.add('bronzekeel_packets_total', 'counter', 'Packets by fate.', {**count_by_fate})
     page.add('bronzekeel_store_calls_total', 'counter', 'Calls to the store.', {'': store_calls})
+    page.add(
+        'bronzekeel_objects_unreadable_total',
+        'counter',
+        'Objects of the store that could not be read.',
+        {'': state.unreadable_objects},
+    )
     page.add(
         'bronzekeel_log_lines_left_out_total',
         'counter',
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -10,6 +10,14 @@
 from typing import Any
 
 from bronzekeel.core.routing.connection_ids import seal_of
+from bronzekeel.core.routing.field_checks import (
+    MOST_COLD_S,
+    MOST_SLOTS,
+    address,
+    figure,
+    label,
+    whole_number,
+)
 from bronzekeel.core.routing.messages import (
     Allowance,
     FlowShare,
@@ -22,7 +30,15 @@
 
 
 #: What a message of the wrong shape raises while it is read.
-_FORMAT_FAULTS = (KeyError, TypeError, ValueError, AttributeError, IndexError)
+_FORMAT_FAULTS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
 
 _COMPACT = (',', ':')
 
@@ -30,6 +46,9 @@
 _KEY_BYTES = 6
 _ENDLESS = float('inf')
 
+#: Largest number of an upstream: 64 bits stand before packets.
+_MOST_NUMBER = 0xFFFFFFFFFFFFFFFF
+
 #: What routes have in common that are told together: services with weights, priority, seconds.
 _RouteKind = tuple[tuple[tuple[str, int], ...], int, float]
 _FLAGS = ('direct', 'lost', 'stopping')
@@ -214,15 +233,17 @@
 def _entry_in(fields: dict[str, Any]) -> UpstreamEntry:
     host, port = fields['address']
     return UpstreamEntry(
-        name=str(fields['name']),
-        number=int(fields['number']),
-        service=str(fields['service']),
-        address=(str(host), int(port)),
-        data_centre=str(fields['data_centre']),
-        slots=int(fields['slots']),
+        name=label('name', fields['name']),
+        number=whole_number('number', fields['number'], most=_MOST_NUMBER),
+        service=label('service', fields['service']),
+        address=address('address', host, port),
+        data_centre=label('data_centre', fields['data_centre']),
+        slots=whole_number('slots', fields['slots'], 1, MOST_SLOTS),
         draining=bool(fields['draining']),
-        cold_s=float(fields['cold_s']),
-        revision=int(fields['revision']),
+        cold_s=figure('cold_s', fields['cold_s'], MOST_COLD_S),
+        revision=whole_number('revision', fields['revision']),
+        started_ms=whole_number('started_ms', fields['started_ms']),
+        usable=bool(fields['usable']),
     )
 
 
--- a/src/bronzekeel/platform/answers.py
+++ b/src/bronzekeel/platform/answers.py
@@ -54,9 +54,12 @@
     *,
     draining: bool = False,
     slots: int = 3,
+    started_ms: int | None = None,
 ) -> dict[str, Any]:
-    """Return what an upstream writes of itself."""
+    """Return what an upstream writes of itself; `started_ms` only if it tells that."""
+    started = {} if started_ms is None else {'born': started_ms}
     return {
+        **started,
         'service': service,
         'address': f'{address[0]}:{address[1]}',
         'zone': data_centre,
--- /dev/null
+++ b/src/bronzekeel/platform/entries.py
@@ -0,0 +1,72 @@
+"""Read what upstreams write of themselves into the platform's store.
+
+Other writers may leave anything there.  An entry that lacks a field, or has one of another type
+or out of its bounds, names no upstream.
+"""
+
+from typing import Any
+
+from bronzekeel.core.routing.field_checks import (
+    MOST_COLD_S,
+    MOST_SLOTS,
+    FieldError,
+    address,
+    figure,
+    label,
+    whole_number,
+)
+from bronzekeel.core.routing.model import UpstreamEntry
+
+
+_MS = 1000
+_HEX = 16
+_MOST_DIGITS = 16
+_MOST_PORT_DIGITS = 5
+_STATES = ('ready', 'draining')
+
+
+def read_entry(name: str, revision: int, spec: Any) -> UpstreamEntry:
+    """Return the entry that lies under `name`.  Raises FieldError.
+
+    - `capacity` is how many requests it works on at once;
+    - `warmupLeftMs` counts from when the entry was written;
+    - `born`, which older upstreams do not tell, is the Unix millisecond of its start.
+    """
+    if not isinstance(spec, dict):
+        raise FieldError('spec', spec, 'a table')
+    label('version', spec.get('version'))
+    whole_number('sequence', spec.get('sequence'))
+    return UpstreamEntry(
+        name=name,
+        number=_number(name),
+        service=label('service', spec.get('service')),
+        address=_address(spec.get('address')),
+        data_centre=label('zone', spec.get('zone')),
+        slots=whole_number('capacity', spec.get('capacity'), 1, MOST_SLOTS),
+        draining=_is_draining(spec.get('state')),
+        cold_s=figure('warmupLeftMs', spec.get('warmupLeftMs'), MOST_COLD_S * _MS) / _MS,
+        revision=revision,
+        started_ms=whole_number('born', spec.get('born', 0)),
+    )
+
+
+def _number(name: str) -> int:
+    """Return the number that stands before packets: the hex digits of the id."""
+    digits = name.rpartition('-')[2]
+    if len(digits) > _MOST_DIGITS or not digits.isalnum() or not digits.isascii():
+        raise FieldError('name', name, f'an id that ends in up to {_MOST_DIGITS} hex digits')
+    return int(digits, _HEX)
+
+
+def _address(found: Any) -> tuple[str, int]:
+    host, _, port = found.rpartition(':') if isinstance(found, str) else ('', '', '')
+    if not port.isascii() or not port.isdecimal() or len(port) > _MOST_PORT_DIGITS:
+        raise FieldError('address', found, 'an address with a port')
+    return address('address', host, int(port))
+
+
+def _is_draining(state: Any) -> bool:
+    if state not in _STATES:
+        states = ' or '.join(_STATES)
+        raise FieldError('state', state, states)
+    return state == 'draining'
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -3,12 +3,9 @@
 Its names are decoded here once.  Those that mislead:
 
 - `pathPrefix` of a route is a port between slashes, `host` an IP number;
-- `capacity` of a server is how many requests it works on at once;
-- `warmupLeftMs` counts from when the entry was written;
 - `storeRevision` is the store's newest revision, `revision` an object's.
 """
 
-from json import loads as decode_json
 from socket import inet_aton
 from types import MappingProxyType
 from typing import Any
@@ -29,9 +26,11 @@
     Route,
     RoutingText,
     ServiceShare,
-    UpstreamEntry,
 )
+from bronzekeel.core.routing.field_checks import label, whole_number
 from bronzekeel.entry.ports import StoreCalls
+from bronzekeel.platform.bodies import BODY_FAULTS, decode_body
+from bronzekeel.platform.entries import read_entry
 from bronzekeel.platform.calls import (
     TEXT_KIND,
     TEXT_NAME,
@@ -47,11 +46,17 @@
 _OK = 200
 _GONE = 410
 _MS = 1000
-_HEX = 16
 _DEFAULT_IDLE_MS = 15_000
 
 #: What a field of the wrong kind raises while it is read.
-_FORMAT_FAULTS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, OSError)
+_FORMAT_FAULTS = (
+    *BODY_FAULTS,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    OSError,
+)
 
 
 class PlatformStore(StoreCalls):
@@ -70,7 +75,7 @@
         if status != _OK:
             return CallFailed(collection, f'the store answered {status}')
         try:
-            page = decode_json(body)
+            page = decode_body(body)
             objects = [_stored(collection, item, removed=False) for item in page['items']]
             return PageRead(
                 collection,
@@ -88,26 +93,35 @@
         if status != _OK:
             return CallFailed(collection, f'the store answered {status}')
         try:
-            answer = decode_json(body)
-            objects = [
-                _stored(collection, event['object'], removed=bool(event.get('tombstone')))
-                for event in answer.get('events') or ()
-            ]
+            answer = decode_body(body)
+            objects = [_changed(collection, event) for event in answer.get('events') or ()]
             return ChangesRead(collection, objects, int(answer['storeRevision']))
         except _FORMAT_FAULTS as fault:
             return CallFailed(collection, f'changes unreadable: {fault!r}')
 
 
-def _stored(collection: str, item: dict[str, Any], *, removed: bool) -> StoredObject:
-    """Return an object; one whose content is unreadable is marked so."""
-    meta = item['meta']
-    name = str(meta['name'])
-    revision = int(meta['revision'])
+def _changed(collection: str, event: Any) -> StoredObject:
+    """Return the object of a change."""
+    if not isinstance(event, dict):
+        return StoredObject('', 0, Unreadable('a change that is no table'))
+    return _stored(collection, event.get('object'), removed=event.get('tombstone') is True)
+
+
+def _stored(collection: str, item: Any, *, removed: bool) -> StoredObject:
+    """Return an object; one whose content is unreadable is marked so.
+
+    One whose name or revision cannot be read has neither.
+    """
+    try:
+        name = label('name', item['meta']['name'])
+        revision = whole_number('revision', item['meta']['revision'])
+    except _FORMAT_FAULTS as fault:
+        return StoredObject('', 0, Unreadable(repr(fault)))
     if removed:
         return StoredObject(name, revision, None)
     try:
         if collection == Collection.UPSTREAMS:
-            return StoredObject(name, revision, _upstream(name, revision, item['spec']))
+            return StoredObject(name, revision, read_entry(name, revision, item['spec']))
         if name != TEXT_NAME:
             return StoredObject(name, revision, Unreadable('no text under this name'))
         return StoredObject(name, revision, _text(revision, item['spec']))
@@ -115,28 +129,6 @@
         return StoredObject(name, revision, Unreadable(repr(fault)))
 
 
-def _upstream(name: str, revision: int, spec: dict[str, Any]) -> UpstreamEntry:
-    host, _, port = spec['address'].rpartition(':')
-    inet_aton(host)
-    return UpstreamEntry(
-        name=name,
-        number=_number(name),
-        service=str(spec['service']),
-        address=(host, int(port)),
-        data_centre=str(spec['zone']),
-        slots=int(spec.get('capacity') or 1),
-        draining=spec.get('state') == 'draining',
-        cold_s=int(spec.get('warmupLeftMs') or 0) / _MS,
-        revision=revision,
-    )
-
-
-def _number(name: str) -> int:
-    """Return the number that stands before packets: the hex digits of the id."""
-    digits = name.rpartition('-')[2]
-    return int(digits, _HEX)
-
-
 def _text(revision: int, spec: dict[str, Any]) -> RoutingText:
     route_by_key = {}
     for item in spec['routes']:
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,296 @@
+"""Test that objects of other writers take nothing else with them."""
+
+from collections.abc import Mapping
+from json import dumps as encode_json
+from types import MappingProxyType
+from typing import Any
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import WriteLine
+from bronzekeel.core.routing.events import ChangesRead, Event, PageRead, StoredObject, Unreadable
+from bronzekeel.core.routing.events import ViewFetched
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.messages import Known
+from bronzekeel.core.routing.model import UpstreamEntry
+from bronzekeel.core.routing.reducer import reduce
+from bronzekeel.core.routing.sharing import view_since
+from bronzekeel.entry.peer_messages import MessageError, decode_view, encode_view
+from bronzekeel.platform.answers import object_content, upstream_spec
+from bronzekeel.platform.objects import PlatformStore
+from tests.routing_cases import (
+    asking,
+    delivered_to,
+    entry,
+    fresh_state,
+    id_given,
+    opening,
+    page,
+    ready_state,
+    steering,
+    text,
+)
+
+
+_STORE = PlatformStore()
+_DERANDOMIZED = settings(derandomize=True, deadline=None, max_examples=150)
+_GOOD = upstream_spec('portal', ('10.0.0.1', 80), 'dc-a')
+_ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=12,
+)
+_BAD_BY_FIELD: Mapping[str, tuple[Any, ...]] = MappingProxyType(
+    {
+        'service': (None, 5, '', 'a' * 300, 'a\nb', ['portal']),
+        'address': (None, 7, '', 'nowhere', '1:80', '10.0.0.1', '10.0.0.1:0', '10.0.0.1:99999')
+        + ('10.0.0.256:80', '10.0.0.1:-1', '10.0.0.1:\u0663', '010.00.0.0001:80'),
+        'zone': (None, 1, '', {}),
+        'version': (None, 3, ''),
+        'capacity': (None, 0, -3, True, 2.5, '3', 10**9),
+        'state': (None, 1, '', 'gone', 'READY', ['ready']),
+        'warmupLeftMs': (None, -1, True, 'soon', 10**12),
+        'sequence': (None, -1, True, '4', 1.5),
+        'born': (None, -1, True, '1700000000000', 1.5),
+    }
+)
+
+
+class ReaderTest(TestCase):
+    """Each field has its type and bounds."""
+
+    def test_a_good_entry_is_read(self) -> None:
+        """With and without the time of its start."""
+        for started_ms in (None, 1_700_000_000_123):
+            spec = upstream_spec('portal', ('10.0.0.1', 80), 'dc-a', started_ms=started_ms)
+            found = _read(spec)
+            if not isinstance(found, UpstreamEntry):
+                self.fail(found)
+            self.assertEqual(started_ms or 0, found.started_ms)
+
+    def test_fields_of_another_type_or_out_of_bounds(self) -> None:
+        """Symptom: every new flow goes to one address where nobody is.
+
+        Sequence: somebody writes an entry with a negative number of slots.
+        Cause: taking fields as they stand; such an upstream looks like the least busy.
+        """
+        for field, values in _BAD_BY_FIELD.items():
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    self.assertIsInstance(_read({**_GOOD, field: value}), Unreadable)
+
+    def test_missing_fields(self) -> None:
+        """An entry that lacks any field names no upstream."""
+        for field in _GOOD:
+            with self.subTest(field=field):
+                spec = {name: value for name, value in _GOOD.items() if name != field}
+                self.assertIsInstance(_read(spec), Unreadable)
+
+    def test_further_fields_are_left_alone(self) -> None:
+        """What a later version adds does no harm."""
+        self.assertIsInstance(_read({**_GOOD, 'later': [1]}), UpstreamEntry)
+
+    def test_names_that_hold_no_number(self) -> None:
+        """The number before packets is read from the name."""
+        for name in ('i-', 'i-xyz', 'i-1_0', 'i-+1', 'i-11111111111111111', 'nobody'):
+            with self.subTest(name=name):
+                self.assertIsInstance(_read(_GOOD, name), Unreadable)
+
+
+class PageTest(TestCase):
+    """A page or a watch with something unreadable is read as far as it can be."""
+
+    def test_what_cannot_be_read_takes_nothing_with_it(self) -> None:
+        """Symptom: all upstreams are gone, and one page is asked for again without end.
+
+        Sequence: another writer leaves an object whose bytes are no text, whose brackets are
+        nested deeper than the interpreter goes, or whose number has ten thousand digits.
+        Cause: one object that cannot be decoded fails the whole answer.
+        """
+        for label, raw in _UNREADABLE.items():
+            with self.subTest(label):
+                found = _STORE.read_page('upstreams', 200, _page_of(raw))
+                if not isinstance(found, PageRead):
+                    self.fail(found)
+                self._assert_neighbours_hold(found.objects)
+                self.assertEqual((80, True), (found.revision, found.more))
+
+    def test_a_watch_with_such_an_object(self) -> None:
+        """A watch answers with changes; the same holds for them."""
+        for label, raw in _UNREADABLE.items():
+            with self.subTest(label):
+                found = _STORE.read_changes('upstreams', 200, _changes_of(raw))
+                if not isinstance(found, ChangesRead):
+                    self.fail(found)
+                self._assert_neighbours_hold(found.objects)
+
+    def test_an_object_without_a_name(self) -> None:
+        """It has no place among those that are listed, and is told as unreadable."""
+        for item in ('null', '7', '{}', '{"meta":{}}', '{"meta":{"name":5,"revision":1}}'):
+            with self.subTest(item):
+                found = _STORE.read_page('upstreams', 200, _page_of(item.encode()))
+                if not isinstance(found, PageRead):
+                    self.fail(found)
+                self.assertEqual(['i-1', '', 'i-3'], [stored.name for stored in found.objects])
+
+    @_DERANDOMIZED
+    @given(_ANYTHING)
+    def test_good_neighbours_hold_whatever_stands_between(self, item: Any) -> None:
+        """Any object may lie beside good ones."""
+        raw = encode_json(item).encode()
+        found = _STORE.read_page('upstreams', 200, _page_of(raw))
+        if not isinstance(found, PageRead):
+            self.fail(found)
+        self._assert_neighbours_hold(found.objects)
+
+    @_DERANDOMIZED
+    @given(st.binary(max_size=400))
+    def test_any_bytes_are_an_event(self, body: bytes) -> None:
+        """Whatever the store answers, reading it raises nothing."""
+        self.assertIsInstance(_STORE.read_page('upstreams', 200, body), Event)
+        self.assertIsInstance(_STORE.read_changes('upstreams', 200, body), Event)
+
+    def _assert_neighbours_hold(self, objects: list[StoredObject]) -> None:
+        self.assertEqual(3, len(objects))
+        for place in (0, -1):
+            self.assertIsInstance(objects[place].content, UpstreamEntry)
+        self.assertIsInstance(objects[1].content, Unreadable)
+
+
+class ViewTest(TestCase):
+    """What peers tell is checked by the same bounds."""
+
+    @_DERANDOMIZED
+    @given(_ANYTHING)
+    def test_a_view_is_read_or_refused(self, told: Any) -> None:
+        """Nothing but one typed error is raised."""
+        fields = {'text': None, 'text_followed': 1, 'entries': [told], 'missing': []}
+        fields.update({'upstreams_followed': 1, 'newest': 1, 'all_missing': True})
+        with self.assertRaises(MessageError):
+            decode_view(encode_json(fields).encode())
+
+    def test_nested_deeply(self) -> None:
+        """The interpreter's stack is no bound for what a peer may send."""
+        with self.assertRaises(MessageError):
+            decode_view(b'[' * 200_000)
+
+
+class TurnedBadTest(TestCase):
+    """An entry that was good is written over."""
+
+    def test_no_new_flows_and_no_reset(self) -> None:
+        """Symptom: open flows of a living upstream are reset, or new ones still go there.
+
+        Sequence: another writer writes over the entry of an upstream that lives.
+        Cause: taking an unreadable entry for a removed one, or for nothing at all.
+        """
+        state = ready_state(entry(1), entry(2))
+        steers = steering(state)
+        opened = {}
+        for number in range(4):
+            verdict = steers.decide(opening(number), 0)
+            opened[delivered_to(verdict)] = (number, id_given(verdict))
+        _turn_bad(state, 60)
+        placed = {delivered_to(steers.decide(opening(9 + more), 1)) for more in range(8)}
+        self.assertEqual({entry(2).name}, placed)
+        number, given = opened[entry(1).name]
+        for _ in range(6):
+            verdict = steers.decide(asking(number, given), 2)
+            self.assertEqual(entry(1).name, delivered_to(verdict))
+
+    def test_it_is_used_again_when_it_can_be_read(self) -> None:
+        """The upstream's next word puts its entry right."""
+        state = ready_state(entry(1))
+        _turn_bad(state, 60)
+        self.assertEqual('Reset no_upstream', delivered_to(steering(state).decide(opening(1), 1)))
+        good = StoredObject(entry(1).name, 61, entry(1, revision=61))
+        reduce(state, ChangesRead(Collection.UPSTREAMS, [good], 61), 2)
+        self.assertEqual(entry(1).name, delivered_to(steering(state).decide(opening(2), 2)))
+
+    def test_a_host_that_starts_meanwhile_keeps_its_flows(self) -> None:
+        """Symptom: a host that has just started resets flows of an upstream that lives.
+
+        Sequence: an entry becomes unreadable; a host starts and lists the store.
+        Cause: the listing does not tell who the upstream is, and nobody is asked.
+        """
+        known = ready_state(entry(1))
+        given = id_given(steering(known).decide(opening(1), 0))
+        _turn_bad(known, 60)
+        fresh = fresh_state('a2')
+        reduce(fresh, page(Collection.TEXT, text(1)), 1)
+        bad = StoredObject(entry(1).name, 60, Unreadable('bytes'))
+        reduce(fresh, PageRead(Collection.UPSTREAMS, [bad], 60, more=False), 1)
+        view = decode_view(encode_view(view_since(known, Known(1, 60, 0), 1)))
+        reduce(fresh, ViewFetched(('p', 9), view), 1)
+        steers = steering(fresh)
+        self.assertEqual(entry(1).name, delivered_to(steers.decide(asking(1, given), 1)))
+        self.assertEqual('Reset no_upstream', delivered_to(steers.decide(opening(2), 1)))
+
+    def test_a_listing_with_a_gap_removes_nothing(self) -> None:
+        """Symptom: flows are reset though their upstream lives and is listed.
+
+        Sequence: a page has an object whose very name cannot be read; it may be any upstream's.
+        Cause: what a listing does not name counts as removed.
+        """
+        state = ready_state(entry(1), entry(2))
+        good = StoredObject(entry(2).name, 70, entry(2, revision=70))
+        gap = StoredObject('', 0, Unreadable('no name'))
+        reduce(state, PageRead(Collection.UPSTREAMS, [good, gap], 70, more=False), 1)
+        self.assertTrue(state.directory.by_name[entry(1).name].listed)
+
+    def test_each_is_logged_and_counted(self) -> None:
+        """A line names the object, and whether it was in use."""
+        state = ready_state(entry(1))
+        effects = _turn_bad(state, 60)
+        lines = [effect for effect in effects if isinstance(effect, WriteLine)]
+        bad = [line for line in lines if line.number == LogNumber.OBJECT_BAD]
+        self.assertEqual([True], [line.fields['withheld'] for line in bad])
+        self.assertEqual(1, state.unreadable_objects)
+
+
+def _turn_bad(state: Any, revision: int) -> list[Any]:
+    bad = StoredObject(entry(1).name, revision, Unreadable('bytes'))
+    return reduce(state, ChangesRead(Collection.UPSTREAMS, [bad], revision), 1)
+
+
+def _read(spec: Any, name: str = 'i-1') -> Any:
+    """Return what is read of one object."""
+    content = object_content(name, 9, 1, [], spec, None, deleting=False)
+    body = encode_json({'items': [content], 'hasMore': False, 'storeRevision': 9})
+    found = _STORE.read_page('upstreams', 200, body.encode())
+    if not isinstance(found, PageRead):
+        raise AssertionError(found)
+    return found.objects[0].content
+
+
+def _good(name: str) -> bytes:
+    return encode_json(object_content(name, 9, 1, [], _GOOD, None, deleting=False)).encode()
+
+
+def _page_of(raw: bytes) -> bytes:
+    """Return a page with something between two good objects."""
+    items = b','.join((_good('i-1'), raw, _good('i-3')))
+    return b'{"items":[%s],"hasMore":true,"storeRevision":80}' % items
+
+
+def _changes_of(raw: bytes) -> bytes:
+    events = b','.join(
+        b'{"tombstone":false,"object":%s}' % item for item in (_good('i-1'), raw, _good('i-3'))
+    )
+    return b'{"events":[%s],"storeRevision":80}' % events
+
+
+_META = b'"meta":{"name":"i-2","revision":9,"createRevision":1,"finalizers":[],"deleting":false}'
+_UNREADABLE = MappingProxyType(
+    {
+        'no text': b'{%s,"spec":{"service":"\xff\xfe\x80"},"status":null}' % _META,
+        'deep': b'{%s,"spec":%s%s}' % (_META, b'[' * 50_000, b']' * 50_000),
+        'digits': b'{%s,"spec":{"capacity":%s}}' % (_META, b'9' * 10_000),
+        'escape': rb'{%s,"spec":"\x"}' % _META,
+        'control': b'{%s,"spec":"\x00\x01"}' % _META,
+        'word': b'{%s,"spec":nothing}' % _META,
+    }
+)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -133,7 +133,8 @@
         directory = Directory()
         directory.take(entry(1), 0)
         shared = SharedLoads()
-        shared.note(directory, {1: 6})
+        shared.note(directory, {entry(1).short_number: 6})
+        self.assertEqual(6, directory.by_name[entry(1).name].busy_elsewhere)
         shared.note(directory, {})
         self.assertEqual(0, directory.by_name[entry(1).name].busy_elsewhere)
         self.assertEqual(0, directory.by_name[entry(1).name].shared_load)
@@ -142,7 +143,8 @@
         directory = Directory()
         for number in busy_by_number:
             directory.take(entry(number), 0)
-        SharedLoads().note(directory, busy_by_number)
+        by_short = {entry(number).short_number: busy for number, busy in busy_by_number.items()}
+        SharedLoads().note(directory, by_short)
         alone = load_of(directory.by_name[entry(1).name], 1) - 1 / 3
         self.assertAlmostEqual(directory.by_name[entry(1).name].shared_load, alone)
         return [upstream.shared_load for upstream in directory.by_name.values()]
