--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -37,6 +37,10 @@
 #: Interval in seconds of heartbeats to the seeds while nothing is known here.
 _SEED_UNREADY_S = 0.2
 
+#: Interval in seconds at which other data centres are told of a host of a third one.  Source:
+#: bytes between data centres are dear, and each host that is heard has its turn in a minute.
+NAMING_S = 5.0
+
 #: Seconds for which a silent peer is remembered.  Source: a host that loses
 #: power is back within seconds; one that is replaced never comes back.
 FORGET_S = 60.0
@@ -81,6 +85,7 @@
         self._seeds = tuple(seed for seed in seeds if seed != me.address)
         self._beat_at: float = 0
         self._seed_at: float = 0
+        self._name_at: float = 0
         self._turn = 0
 
     @property
@@ -196,11 +201,13 @@
         return tuple((named[start:] + named[:start])[:_MOST_OTHERS])
 
     def next_elsewhere(self, now: float) -> tuple[PeerAddress, ...]:
-        """Return one host of another data centre that is heard, each in turn.
+        """Return one host of another data centre that is heard, each in turn, every ``NAMING_S``.
 
         What goes wrong without it: data centres that have no seed know those that have, and not
         each other; when these are cut off, nobody tells them what they miss.
         """
+        if now < self._name_at:
+            return ()
         self._turn += 1
         heard = [
             peer.address
@@ -209,6 +216,7 @@
         ]
         if not heard:
             return ()
+        self._name_at = now + NAMING_S
         return (heard[self._turn % len(heard)],)
 
     def knows_more(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
