Ask another data centre for a view only when the store does not answer

Cause: a host that starts asked the first peer that knew more for its whole view, mostly a seed of another data centre, while the store was about to list the same: with 3,000 upstreams bytes between data centres are the largest price of 300 hosts.

Change: until a host is ready, a peer elsewhere is asked once the store has been silent for 0.2 s, or failed; neighbours are asked as before.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -41,15 +41,16 @@
 class Follower:
     """Hold how far one collection was read.
 
-    `revision` is the store's revision that is known here; `current_until` is
-    when the last answer no longer proves that the view is current; at `doubtful_at`
-    the watch must have told what a peer has told.  The listing in progress `has_gaps` when
-    objects of it have no name that can be read.  Until `rests_until` no call is made; `stale`
-    tells that the last one was.
+    `revision` is the store's revision that is known here; a page was read at `answered_at`.
+    At `current_until` the last answer no longer proves that the view is current; at
+    `doubtful_at` the watch must have told what a peer has told.  The listing in progress
+    `has_gaps` when objects of it have no name that can be read.  Until `rests_until` no call is
+    made; `stale` tells that the last one was.
     """
 
     __slots__ = (
         '_host',
+        'answered_at',
         'collection',
         'current_until',
         'doubtful_at',
@@ -70,6 +71,7 @@
         """Start with nothing read."""
         self._host = host
         self.collection = collection
+        self.answered_at: float = 0
         self.current_until: float = 0
         self.doubtful_at: float | None = None
         self.failures = 0
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -71,6 +71,7 @@
 
 
 def _on_started(state: RoutingState, event: Started, now: float) -> list[Effect]:
+    state.started_at = now
     effects = beat(state, now)
     for follower in state.follower_by_collection.values():
         effects.append(follower.begin_listing())
@@ -79,6 +80,7 @@
 
 def _on_page(state: RoutingState, event: PageRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
+    follower.answered_at = now
     effects = _note_regained(state, follower, now)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -27,6 +27,12 @@
 #: know asks the store.  Source: a third of the shortest bound on a change (3 s).
 BEHIND_S = 1.0
 
+#: Seconds from a start for which the store has time to answer before another data centre is
+#: asked.  What goes wrong without it: each of hundreds of hosts that start takes a view of all
+#: upstreams across data centres that the store is about to list.  Source: fifty times the usual
+#: answer of the users' store.
+STORE_FIRST_S = 0.2
+
 #: Seconds for which another data centre must have known more before it is asked.
 #: Source: the own watch tells of a change within 0.25 s of another's, also if the
 #: store is sixty times slower than its usual 4 ms; twice that.
@@ -75,7 +81,7 @@
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_revision and not heartbeat.text_revision):
         effects.append(SendHeartbeat(answer_to(state, sender, now), [sender.address]))
-    if not _knows_more(state, heartbeat):
+    if not _knows_more(state, heartbeat, now):
         return effects
     if state.behind_since is None:
         state.behind_since = now
@@ -223,25 +229,34 @@
     return []
 
 
-def _knows_more(state: RoutingState, heartbeat: Heartbeat) -> bool:
+def _knows_more(state: RoutingState, heartbeat: Heartbeat, now: float) -> bool:
     """Whether the sender has something that is new here.
 
-    One that has nothing itself is not asked.  Before this balancer is ready
-    any peer will do; later only those of its own data centre, so that no
-    change crosses data centres once for each host.  One of those is asked once for the
-    entries that it remembers and the store no longer has: their upstreams may live.
+    One that has nothing itself is not asked.  Before this balancer is ready a peer
+    elsewhere will do too, unless the store is answering; later only those of its own data
+    centre, so that no change crosses data centres once for each host.  One of those is asked
+    once for the entries that it remembers and the store no longer has: their upstreams may live.
     """
     if not heartbeat.text_revision:
         return False
+    near = heartbeat.sender.data_centre == state.peers.me.data_centre
     if not state.ready:
-        return True
-    if heartbeat.sender.data_centre != state.peers.me.data_centre:
+        return near or _is_unanswered(state, now)
+    if not near:
         return False
     if not state.knows_missing:
         return True
     return heartbeat.knows_more(state.text_revision, state.directory.newest_revision)
 
 
+def _is_unanswered(state: RoutingState, now: float) -> bool:
+    """Whether the store had the time to answer a host that starts, and did not."""
+    answered_at = state.started_at
+    for follower in state.follower_by_collection.values():
+        answered_at = max(answered_at, follower.answered_at)
+    return state.is_lost or now >= answered_at + STORE_FIRST_S
+
+
 def _take_missing(state: RoutingState, missing: MissingEntry, now: float) -> list[Effect]:
     """Take a removal; the teller knows how long the entry may still come back."""
     name = missing.entry.name
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -26,7 +26,7 @@
     A view that was asked of a peer is awaited until `fetch_until`; a peer was
     heard to know more than this balancer does at `behind_since`, and one of another
     data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
-    which entries the store no longer has.  Shares of flows are
+    which entries the store no longer has.  It was started at `started_at`.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
     tell it what their callers ask for.  `unreadable_objects` counts what the store told and
     could not be read.
@@ -50,6 +50,7 @@
         'relays',
         'room',
         'shared_loads',
+        'started_at',
         'stopping',
         'text',
         'told_elsewhere_at',
@@ -97,6 +98,7 @@
         self.behind_since: float | None = None
         self.told_elsewhere_at: float | None = None
         self.unreadable_objects = 0
+        self.started_at: float = 0
 
     @property
     def text_revision(self) -> int:
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -86,6 +86,7 @@
     newest_reads: int = 0
     heartbeats: int = 0
     fetches: int = 0
+    fetches_elsewhere: int = 0
     watch_by_collection: dict[str, '_Watch'] = field(default_factory=dict)
     lines: Counter[int] = field(default_factory=Counter)
     revisions: list[int] = field(default_factory=list)
@@ -313,6 +314,8 @@
         node.fetches += 1
         boot = node.boot
         peer = self._node_by_address.get(effect.address)
+        if peer is not None and peer.me.data_centre != node.me.data_centre:
+            node.fetches_elsewhere += 1
         reached = peer is not None and peer.up and self._reaches(node, peer)
         if peer is None or not reached or not self.views_pass:
             failed = ViewFailed(effect.address, 'no answer')
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from bronzekeel.core.routing.follower import GATHER_S, LISTEN_S, Collection
+from bronzekeel.core.routing.sharing import STORE_FIRST_S
 from bronzekeel.core.routing.watch_duty import (
     ALL_WATCHERS,
     FEWEST_WATCHERS,
@@ -104,6 +105,34 @@
         self.assertEqual({newest}, {node.state.text_revision for node in fleet.running})
 
 
+class StartTest(TestCase):
+    """What the start of hosts costs their peers."""
+
+    def test_a_view_does_not_cross_while_the_store_answers(self) -> None:
+        """Symptom: bytes between data centres are the largest price of three hundred hosts.
+
+        Sequence: all hosts of a data centre start; seeds elsewhere tell that they know more.
+        Cause: asking for a view of thousands of upstreams that the store is about to list.
+        """
+        fleet = _settled(4)
+        for name in _of(fleet, 'dc-d'):
+            fleet.restart(name)
+        fleet.run(1)
+        views = [node.fetches_elsewhere for node in fleet.running]
+        self.assertEqual(0, sum(views))
+        self.assertTrue(all(node.state.ready for node in fleet.running))
+
+    def test_another_centre_is_asked_if_the_store_is_silent(self) -> None:
+        """Hosts that start in a data centre that knows nothing serve all the same."""
+        fleet = _settled(4)
+        started = _of(fleet, 'dc-d')
+        fleet.lose_store(started, 'silent')
+        for name in started:
+            fleet.restart(name)
+        fleet.run(STORE_FIRST_S + 0.5)
+        self.assertTrue(all(fleet.node_by_name[name].state.ready for name in started))
+
+
 class NoticedTest(TestCase):
     """What must be noticed all the same."""
 
@@ -189,6 +218,11 @@
                     self.assertTrue(known.entry.draining)
 
 
+def _of(fleet: RoutingFleet, centre: str) -> list[str]:
+    """Return the names of a data centre's hosts."""
+    return [node.me.name for node in fleet.running if node.me.data_centre == centre]
+
+
 def _settled(per_centre: int) -> RoutingFleet:
     """Return a fleet of five data centres in which few watch."""
     fleet = fleet_of(per_centre, _FIVE)
