Pack views, and tell entries by the places of their fields

A view of them all is 590 KB; two at once over 20 Mbit/s take longer than the 0.5 s that askers wait.

Change: entries are told as lists, and views are compressed (zlib, level 1), with a bound on what they may unpack to.

Ruled out: a longer wait (a peer that is gone is noticed later, and the links stay full of the same bytes).

--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -8,6 +8,8 @@
 from json import dumps as encode_json
 from json import loads as decode_json
 from typing import Any
+from zlib import compress, decompressobj
+from zlib import error as CompressionError  # noqa: N812 (a class in spite of its name)
 
 from bronzekeel.core.routing.connection_ids import seal_of
 from bronzekeel.core.routing.field_checks import (
@@ -40,6 +42,12 @@
     RecursionError,
 )
 
+#: Level of compression.  Source: 6 ms of processor time for 590 KB; higher ones save a tenth.
+_QUICK = 1
+
+#: Bytes of a body at most.  Source: four times 27,000 upstreams and 9,200 routes.
+_MOST_BODY = 16_000_000
+
 _COMPACT = (',', ':')
 
 #: Bytes of a route's address and port.
@@ -51,6 +59,21 @@
 
 #: What routes have in common that are told together: services with weights, priority, seconds.
 _RouteKind = tuple[tuple[tuple[str, int], ...], int, float]
+
+#: Fields of an entry in the order in which they are told.
+_ENTRY_FIELDS = (
+    'name',
+    'number',
+    'service',
+    'address',
+    'data_centre',
+    'slots',
+    'draining',
+    'cold_s',
+    'revision',
+    'started_ms',
+    'usable',
+)
 _FLAGS = ('direct', 'lost', 'stopping')
 
 
@@ -137,6 +160,28 @@
         raise MessageError(f'view unreadable: {fault!r}') from fault
 
 
+def packed(body: bytes) -> bytes:
+    """Return a body as it goes over the wire.
+
+    What goes wrong without it: a view of three thousand upstreams is 590 KB, a link of 20 Mbit/s
+    takes longer for two of them than their askers wait, and hosts that start together get
+    none.  Packed, with fields by their places, it is 72 KB.
+    """
+    return compress(body, _QUICK)
+
+
+def unpacked(raw: bytes) -> bytes:
+    """Return the body that ``packed`` made.  Raises MessageError."""
+    reader = decompressobj()
+    try:
+        body = reader.decompress(raw, _MOST_BODY)
+    except CompressionError as fault:
+        raise MessageError(f'body unreadable: {fault}') from fault
+    if not reader.eof:
+        raise MessageError(f'body is cut, or larger than {_MOST_BODY} bytes')
+    return body
+
+
 def _encoded(fields: dict[str, Any]) -> bytes:
     return encode_json(fields, separators=_COMPACT).encode()
 
@@ -226,11 +271,13 @@
         yield Route(key, shares, seal_of(key), int(priority), _figure_in(timeout_s))
 
 
-def _entry_out(entry: UpstreamEntry) -> dict[str, Any]:
-    return {name: getattr(entry, name) for name in UpstreamEntry.__slots__}
+def _entry_out(entry: UpstreamEntry) -> list[object]:
+    """Return an entry by the places of its fields: names would be half of a view."""
+    return [getattr(entry, name) for name in _ENTRY_FIELDS]
 
 
-def _entry_in(fields: dict[str, Any]) -> UpstreamEntry:
+def _entry_in(listed: list[Any]) -> UpstreamEntry:
+    fields = dict(zip(_ENTRY_FIELDS, listed, strict=True))
     host, port = fields['address']
     return UpstreamEntry(
         name=label('name', fields['name']),
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -31,6 +31,8 @@
     decode_view,
     encode_heartbeat,
     encode_view,
+    packed,
+    unpacked,
 )
 from bronzekeel.entry.port_pair import BIND_TRIES, bind_pair
 
@@ -123,7 +125,7 @@
             self._emit(ViewFailed(address, f'refused with status {status}'))
             return
         try:
-            view = decode_view(body)
+            view = decode_view(unpacked(body))
         except MessageError as fault:
             self._emit(ViewFailed(address, str(fault)))
             return
@@ -159,7 +161,8 @@
         revisions = target.removeprefix(_PATH).split('/')
         if len(revisions) != _REVISIONS or not all(map(str.isdecimal, revisions)):
             return Answer(BAD_REQUEST)
-        return Answer(OK, encode_view(self._view_since(Known(*map(int, revisions)))))
+        view = self._view_since(Known(*map(int, revisions)))
+        return Answer(OK, packed(encode_view(view)))
 
 
 def _target_of(known: Known) -> str:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,6 +25,8 @@
     decode_view,
     encode_heartbeat,
     encode_view,
+    packed,
+    unpacked,
 )
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
@@ -369,6 +371,36 @@
             self.fail('no text')
         self.assertEqual({item.key for item in routes}, set(back.route_by_key))
 
+    def test_many_upstreams_are_small_on_the_wire(self) -> None:
+        """Symptom: hosts that start together get no view from their neighbours.
+
+        Sequence: three thousand upstreams; forty hosts ask two for them over links of 20 Mbit/s.
+        Cause: a name for each field of each entry; two views take longer than an asker waits.
+        """
+        entries = [entry(number, revision=number + 1) for number in range(1, 3001)]
+        for number, listed in enumerate(entries):
+            listed.address = (f'10.0.{number >> 8}.{number & 255}', 80)
+        body = encode_view(View(None, 1, entries, [], 1))
+        sent = packed(body)
+        self.assertLess(len(sent), 3000 * 25)
+        self.assertEqual(body, unpacked(sent))
+        back = decode_view(body).entries
+        self.assertEqual([item.address for item in entries], [item.address for item in back])
+
+    @_DERANDOMIZED
+    @given(st.binary(max_size=200))
+    def test_what_was_not_packed_is_a_fault(self, raw: bytes) -> None:
+        """Other bytes, a cut body, and one that would fill the memory."""
+        with self.assertRaises(MessageError):
+            unpacked(raw)
+        with self.assertRaises(MessageError):
+            unpacked(packed(raw)[:-1])
+
+    def test_a_body_that_would_fill_the_memory(self) -> None:
+        """A few bytes may stand for gigabytes."""
+        with self.assertRaises(MessageError):
+            unpacked(packed(bytes(20_000_000)))
+
     @_DERANDOMIZED
     @given(st.binary(max_size=100) | _ANYTHING.map(lambda made: encode_json(made).encode()))
     def test_anything_else_is_one_kind_of_fault(self, raw: bytes) -> None:
