Take nothing for current before it is proved, after a stale listing or a pause

Cause, by reading: a host counted its first, stale listing as current for 0.3 s, and then its first watch before any answer came, so it refused callers by a text that may be seconds old. A pause while changes are gathered ended the same way.

Change: a listing that is stale proves nothing; whoever watches after it, or after a pause, asks first for an answer at once.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -171,6 +171,18 @@
         self._note_answer(until)
         self.rests_until = until
 
+    def listen(self, until: float) -> None:
+        """Make no call before `until`; what was read may be behind."""
+        self.rest(until)
+        self.current_until = 0
+
+    def doubt(self, now: float) -> None:
+        """Take nothing for current before the next answer."""
+        self.current_until = 0
+        if self.rests_until is not None:
+            self.rests_until = None
+            self.retry_at = now
+
     def watch(self, now: float, *, stale: bool = False) -> Effect:
         """Wait for changes after `revision`."""
         self._note_answer(now)
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -94,7 +94,7 @@
         effects.extend(_remove_unlisted(state, follower, now))
     effects.extend(become_ready(state, now))
     if follower.stale:
-        follower.rest(now + LISTEN_S)
+        follower.listen(now + LISTEN_S)
         return effects
     effects.extend(_go_on(state, follower, now))
     return effects
@@ -230,7 +230,7 @@
     at an upstream.
     """
     for follower in state.follower_by_collection.values():
-        follower.current_until = 0
+        follower.doubt(now)
     state.peers.doubt_all()
     effects: list[Effect] = [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
     if event.paused_s >= STALE_PAUSE_S:
@@ -290,9 +290,9 @@
     """Return the call that is due for one collection; leave it to others if they do it."""
     if follower.is_doubtful(now):
         return _doubt(state, follower, now)
-    if follower.has_rested(now):
+    if follower.has_rested(now) and (follower.is_current(now) or not watches):
         return _go_on(state, follower, now)
-    if not follower.is_due(now):
+    if not follower.is_due(now) and not follower.has_rested(now):
         return []
     if behind:
         return [follower.resume()]
