Read octets without leading zeros only, and any text as a version

Cause, by reading: 010.0.0.1 is another address to whoever reads octal; and an upstream whose version is empty is no other writer's entry.

--- a/src/bronzekeel/core/routing/field_checks.py
+++ b/src/bronzekeel/core/routing/field_checks.py
@@ -24,6 +24,7 @@
 
 _MOST_OCTET = 255
 _OCTETS = 4
+_MOST_DIGITS = 3
 _MOST_PORT = 65535
 
 
@@ -66,4 +67,7 @@
 
 
 def _is_octet(text: str) -> bool:
-    return text.isascii() and text.isdecimal() and len(text) <= 3 and int(text) <= _MOST_OCTET
+    """Whether it is a number without leading zeros, which some read as octal."""
+    if not text.isascii() or not text.isdecimal() or len(text) > _MOST_DIGITS:
+        return False
+    return int(text) <= _MOST_OCTET and text == str(int(text))
--- a/src/bronzekeel/platform/entries.py
+++ b/src/bronzekeel/platform/entries.py
@@ -34,7 +34,8 @@
     """
     if not isinstance(spec, dict):
         raise FieldError('spec', spec, 'a table')
-    label('version', spec.get('version'))
+    if not isinstance(spec.get('version'), str):
+        raise FieldError('version', spec.get('version'), 'a text')
     whole_number('sequence', spec.get('sequence'))
     return UpstreamEntry(
         name=name,
