Give the bound on a view's size its true reason

Cause, by reading the change once more: the comment said four times the target's upstreams and routes, from the size of entries before they were told by place.

Change: a comment only. Conclusion: the bound stays.

--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -45,7 +45,7 @@
 #: Level of compression.  Source: 6 ms of processor time for 590 KB; higher ones save a tenth.
 _QUICK = 1
 
-#: Bytes of a body at most.  Source: four times 27,000 upstreams and 9,200 routes.
+#: Bytes of a body at most.  Source: five times 27,000 upstreams of 92 bytes and 9,200 routes of 21.
 _MOST_BODY = 16_000_000
 
 _COMPACT = (',', ':')
