Follow evacuations; hold homes of routes and stated rates of cold upstreams

Change: a third collection is followed. Every host holds the whole of what stands and the store's revision up to which that is whole; heartbeats tell both, and the newest word replaces the older one. Open flows stay: a reset of an open flow breaks it, and the rule is judged by opening packets. A cold upstream with a rate gets flows from one host of its data centre, by rendezvous hashing among those known for a minute. Ways weighed: a share of the rate for each host (25 hosts and 20 flows a second: none may send more than one in 1.25 s, and by chance they pass it together); each host by itself (twenty times the rate).

Ruled out: that hosts which do not forward callers' ordinary flows matter apart (flows of unused routes count and pass the same placement).

Tests: test_evacuations (a search with restarts, old answers and old word among them) and test_cold_starts. Checks changed: three collections in place of two where tests count them (first listings, lost and regained lines, watches); the search for views that go back draws from the two that views tell, as before.

--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -202,7 +202,7 @@
 
 def _counts(upstream: Upstream) -> bool:
     """Whether the slots of an upstream are there for new flows."""
-    return upstream.listed and upstream.entry.takes_flows
+    return upstream.listed and upstream.entry.takes_flows and not upstream.pool.evacuated
 
 
 def _smoothed(former: float | None, newest: float) -> float:
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -53,14 +53,19 @@
         room.allowances = state.peers.allowances_near(now)
     services = {allowance.service for allowance in room.allowances}
     shares = {service: state.admission.share_of(service, now) for service in services}
-    homeless = {
-        service
-        for service in services
-        if not slots_at(state.directory.of_service(service), home, now)
-    }
+    homeless = {service for service in services if _is_homeless(state, service, now)}
     put_in_force(state.directory, home, room.allowances, shares, homeless)
 
 
+def _is_homeless(state: RoutingState, service: str, now: float) -> bool:
+    """Whether the own data centre has no upstream of a service that new flows may go to."""
+    home = state.peers.me.data_centre
+    pool = state.directory.pools_by_service.get(service, {}).get(home)
+    if pool is not None and pool.evacuated:
+        return True
+    return not slots_at(state.directory.of_service(service), home, now)
+
+
 def rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
     """Return the requests a second of all callers of this data centre, by service."""
     total = dict(state.balance.meter.by_service)
--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -5,6 +5,7 @@
 after ``RETURN_GRACE_S`` counts as gone.
 """
 
+from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import Upstream, UpstreamEntry
 from bronzekeel.core.routing.pools import Pool
 
@@ -57,6 +58,7 @@
         self.ordered = True
         self.changes = 0
         self._lapsed: list[Upstream] = []
+        self.evacuated: Evacuated = NOTHING_EVACUATED
         self._older_by_name: dict[str, _OlderStart] = {}
 
     @property
@@ -85,10 +87,23 @@
             if centre != data_centre
         }
 
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Data centres that have or had upstreams."""
+        by_service = self.pools_by_service.values()
+        return frozenset(centre for by_centre in by_service for centre in by_centre)
+
     def is_strained(self, data_centre: str, now: float) -> bool:
         """Whether requests wait for room at a data centre's upstreams."""
         return any(pool.queued_s(now) for pool in self.pools_of(data_centre))
 
+    def evacuate(self, evacuated: Evacuated) -> None:
+        """Keep new flows away from the upstreams of these data centres, and of no others."""
+        self.evacuated = evacuated
+        for pool_by_centre in self.pools_by_service.values():
+            for centre, pool in pool_by_centre.items():
+                pool.evacuated = centre in evacuated.centres
+
     def account_for(self, revision: int) -> None:
         """Note that every change up to `revision` is known."""
         self.newest_revision = max(self.newest_revision, revision)
@@ -234,7 +249,9 @@
     def _pool_of(self, entry: UpstreamEntry) -> Pool:
         """Return the pool that an upstream belongs to; pools are few and stay."""
         by_centre = self.pools_by_service.setdefault(entry.service, {})
-        return by_centre.setdefault(entry.data_centre, Pool(entry.service, entry.data_centre))
+        centre = entry.data_centre
+        fresh = Pool(entry.service, centre, evacuated=centre in self.evacuated.centres)
+        return by_centre.setdefault(centre, fresh)
 
     def _remove(self, name: str) -> None:
         entry = self.by_name.pop(name).entry
--- /dev/null
+++ b/src/bronzekeel/core/routing/evacuations.py
@@ -0,0 +1,58 @@
+"""Take word of evacuations, from the store or a peer, in the order of the store's revisions.
+
+Operators evacuate a data centre before they work on it: from then on no new flow goes to its
+upstreams, until they take that back.  Flows that are open stay where they are, since none
+can be moved without a reset (docs/design/shifted-work.md, "Evacuations").
+
+What goes wrong without the order: a host that was cut off, or a read that is seconds old, brings
+back an evacuation that was taken back, or ends one that stands.  One notices by a data
+centre that gets nothing for no reason, or gets flows while people work on it.
+"""
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.effects import Effect, WriteLine
+from bronzekeel.core.routing.events import StoredObject
+from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.messages import Evacuated
+from bronzekeel.core.routing.state import RoutingState
+
+
+def evacuated_after(
+    evacuated: Evacuated,
+    changes: list[StoredObject],
+    revision: int,
+) -> Evacuated:
+    """Return what is evacuated after `changes`, which are all up to `revision`.
+
+    Changes that are known already do no harm: the last one of a data centre decides.
+    """
+    centres = set(evacuated.centres)
+    for stored in changes:
+        if not stored.name:
+            continue
+        if stored.content is None:
+            centres.discard(stored.name)
+        else:
+            centres.add(stored.name)
+    return Evacuated(revision, frozenset(centres))
+
+
+def take_evacuated(state: RoutingState, told: Evacuated, teller: str) -> list[Effect]:
+    """Put what `teller` says in force if it is newer; the newest word holds as a whole."""
+    known = state.evacuated
+    if told.as_of <= known.as_of:
+        return []
+    state.directory.evacuate(told)
+    state.follower_by_collection[Collection.EVACUATIONS].adopt(told.as_of)
+    if told.centres == known.centres:
+        return []
+    effects: list[Effect] = []
+    for number, centres in (
+        (LogNumber.EVACUATED, told.centres - known.centres),
+        (LogNumber.TAKEN_BACK, known.centres - told.centres),
+    ):
+        effects.extend(
+            WriteLine(number, data_centre=centre, revision=told.as_of, told_by=teller)
+            for centre in sorted(centres)
+        )
+    return effects
--- a/src/bronzekeel/core/routing/events.py
+++ b/src/bronzekeel/core/routing/events.py
@@ -58,7 +58,13 @@
         self.problem = problem
 
 
-Content = RoutingText | UpstreamEntry | Unreadable
+class Evacuation:
+    """Stand for the content of an operators' request; the object's name is the data centre's."""
+
+    __slots__ = ()
+
+
+Content = RoutingText | UpstreamEntry | Evacuation | Unreadable
 
 
 class StoredObject:
--- a/src/bronzekeel/core/routing/field_checks.py
+++ b/src/bronzekeel/core/routing/field_checks.py
@@ -19,6 +19,10 @@
 #: than an hour to warm up is described wrongly.
 MOST_COLD_S = 3600
 
+#: Requests a second at most that a service may state.  Source: far above what a process does
+#: on the largest hosts.
+MOST_RATE = 1e6
+
 #: Largest revision and time that are counted with.  Source: 64 bits, as stores use.
 MOST_WHOLE = 0x7FFFFFFFFFFFFFFF
 
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -36,6 +36,7 @@
 
     TEXT = 'text'
     UPSTREAMS = 'upstreams'
+    EVACUATIONS = 'evacuations'
 
 
 class Follower:
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -5,7 +5,7 @@
 
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
-from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
+from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -16,6 +16,11 @@
 #: 15 bytes each, half of what its sender's name and flags take.
 MOST_RATES = 8
 
+#: Evacuated data centres that a heartbeat tells at most, whether they have upstreams or not.
+#: Source: ten times the data centres of docs/CAPACITY.md; anybody may write to the store, and a
+#: heartbeat with thousands of names fits in no datagram.
+MOST_EVACUATED = 60
+
 KeyT = TypeVar('KeyT')
 FigureT = TypeVar('FigureT', int, float)
 
@@ -49,6 +54,7 @@
             service: load_at(state.directory, state.peers.me.data_centre, service)
             for service in rate_by_service
         },
+        evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
@@ -71,12 +77,21 @@
         _largest(state.balance.meter.by_service, MOST_RATES),
         state.balance.shares if state.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
+        evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
     )
 
 
+def _told_evacuated(state: RoutingState) -> Evacuated:
+    """Return what is evacuated; of too many names only those of data centres with upstreams."""
+    evacuated = state.evacuated
+    if len(evacuated.centres) <= MOST_EVACUATED:
+        return evacuated
+    return Evacuated(evacuated.as_of, evacuated.centres & state.directory.data_centres)
+
+
 def _largest(by_key: Mapping[KeyT, FigureT], most: int) -> dict[KeyT, FigureT]:
     """Return the entries with the largest figures, `most` at most."""
     if len(by_key) <= most:
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -33,6 +33,24 @@
         self.requests = requests
 
 
+class Evacuated:
+    """Name the data centres that operators have evacuated.
+
+    It is whole up to the store's revision `as_of`, zero if nothing is known.
+    """
+
+    __slots__ = ('as_of', 'centres')
+
+    def __init__(self, as_of: int, centres: frozenset[str]) -> None:
+        """Keep the names as they were at a revision."""
+        self.as_of = as_of
+        self.centres = centres
+
+
+#: What a balancer goes by that has just started.
+NOTHING_EVACUATED = Evacuated(0, frozenset())
+
+
 class PeerAddress:
     """Say where a balancer takes what its peers tell."""
 
@@ -57,13 +75,15 @@
     those that it reckoned, None if it has heard too little from other data centres.
     `load_by_service` tells other data centres how many requests of its data centre's callers
     are in progress there, for each slot.  `allowances` say what others have room for, None if it
-    has heard too little from them.  `others` are peers that it knows.
+    has heard too little from them.  `evacuated` says what it knows of evacuations: all of it, so
+    that nobody has to ask.  `others` are peers that it knows.
     """
 
     __slots__ = (
         'allowances',
         'busy_by_number',
         'direct',
+        'evacuated',
         'load_by_service',
         'lost',
         'others',
@@ -87,6 +107,7 @@
         *,
         load_by_service: Mapping[str, float] = _NO_RATES,
         allowances: tuple[Allowance, ...] | None = None,
+        evacuated: Evacuated = NOTHING_EVACUATED,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -101,6 +122,7 @@
         self.shares = shares
         self.load_by_service = load_by_service
         self.allowances = allowances
+        self.evacuated = evacuated
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -4,6 +4,7 @@
 the dark until its first packet is forwarded.
 """
 
+from collections.abc import Mapping
 from zlib import crc32
 
 from bronzekeel.core.routing.pools import Pool
@@ -30,14 +31,19 @@
 USUAL_TIMEOUT_S = 1.0
 
 
+#: Homes of a route that may lead to any region.
+ANYWHERE: frozenset[str] = frozenset()
+
+
 class Route:
     """Say which services take the new flows of one address and port.
 
     `key` is the address and the port as six bytes.  Requests of the smallest `priority` go
-    first when not all can; their callers give up after `timeout_s` seconds.
+    first when not all can; their callers give up after `timeout_s` seconds.  They must not leave
+    the regions that are its `homes`; a route without homes may lead anywhere.
     """
 
-    __slots__ = ('key', 'priority', 'seal', 'shares', 'timeout_s')
+    __slots__ = ('homes', 'key', 'priority', 'seal', 'shares', 'timeout_s')
 
     def __init__(
         self,
@@ -46,6 +52,7 @@
         seal: int,
         priority: int = 0,
         timeout_s: float = USUAL_TIMEOUT_S,
+        homes: frozenset[str] = ANYWHERE,
     ) -> None:
         """Keep the route with the `seal` that marks its connection ids."""
         self.key = key
@@ -53,16 +60,18 @@
         self.seal = seal
         self.priority = priority
         self.timeout_s = timeout_s
+        self.homes = homes
 
 
 class RoutingText:
     """Hold one accepted version of the operators' text.
 
     `revision` orders texts from all sources; `generation` is the operators'
-    own number.  A flow that is silent for `idle_s` seconds may be forgotten.
+    own number.  A flow that is silent for `idle_s` seconds may be forgotten.  A cold upstream of a
+    service in `cold_rate_by_service` bears so many requests a second.
     """
 
-    __slots__ = ('generation', 'idle_s', 'revision', 'route_by_key')
+    __slots__ = ('cold_rate_by_service', 'generation', 'idle_s', 'revision', 'route_by_key')
 
     def __init__(
         self,
@@ -70,8 +79,10 @@
         revision: int,
         route_by_key: dict[bytes, Route],
         idle_s: float,
+        cold_rate_by_service: Mapping[str, float] | None = None,
     ) -> None:
         """Keep the routes by their address and port."""
+        self.cold_rate_by_service = cold_rate_by_service or {}
         self.generation = generation
         self.revision = revision
         self.route_by_key = route_by_key
@@ -233,7 +244,7 @@
 
     def takes_flows(self, now: float) -> bool:
         """Whether new flows may be sent to it by what the store says."""
-        return self.entry.takes_flows and not self.is_gone(now)
+        return self.entry.takes_flows and not self.pool.evacuated and not self.is_gone(now)
 
 
 class FlowPacket:
--- a/src/bronzekeel/core/routing/pools.py
+++ b/src/bronzekeel/core/routing/pools.py
@@ -33,6 +33,7 @@
 class Pool:
     """Hold the requests in progress, and how many there may be.
 
+    New flows keep away while it is `evacuated`.
     `busy` counts the requests of this balancer's callers that are in progress there, by own
     sight.  From `limit` on further ones wait, and up to `allowance` they may come from flows that
     found no room in the own data centre; `waiting` counts those that do, and the queue
@@ -49,6 +50,7 @@
         'answered',
         'busy',
         'data_centre',
+        'evacuated',
         'limit',
         'queued_since',
         'refused',
@@ -57,10 +59,11 @@
         'way_s',
     )
 
-    def __init__(self, service: str, data_centre: str) -> None:
+    def __init__(self, service: str, data_centre: str, *, evacuated: bool = False) -> None:
         """Start with nothing in progress and no limit."""
         self.service = service
         self.data_centre = data_centre
+        self.evacuated = evacuated
         self.busy = 0
         self.limit = NO_LIMIT
         self.allowance: float = 0
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -13,6 +13,7 @@
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
+    Evacuation,
     Event,
     HeartbeatHeard,
     HistoryLost,
@@ -28,7 +29,9 @@
     ViewFailed,
     ViewFetched,
 )
+from bronzekeel.core.routing.evacuations import evacuated_after, take_evacuated
 from bronzekeel.core.routing.follower import GATHER_S, LISTEN_S, Collection, Follower
+from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.sharing import (
@@ -61,6 +64,9 @@
 #: callers give an opening packet up after 1.4 s, and repeat all others sooner.
 STALE_PAUSE_S = 1.4
 
+#: Who told, in the log, where it was no peer.
+_STORE = 'store'
+
 #: Seconds that a silent flow is remembered while no text is known.
 _IDLE_S = 15.0
 
@@ -72,6 +78,7 @@
 
 def _on_started(state: RoutingState, event: Started, now: float) -> list[Effect]:
     state.started_at = now
+    state.eligibility.begin(now)
     effects = beat(state, now)
     for follower in state.follower_by_collection.values():
         effects.append(follower.begin_listing())
@@ -92,6 +99,8 @@
     follower.end_listing(names, event.revision)
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
+    if follower.collection is Collection.EVACUATIONS:
+        effects.extend(take_evacuated(state, _listed_evacuated(state, follower), _STORE))
     effects.extend(become_ready(state, now))
     if follower.stale:
         follower.listen(now + LISTEN_S)
@@ -103,20 +112,28 @@
 def _on_changes(state: RoutingState, event: ChangesRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
     effects = _note_regained(state, follower, now)
-    known = (state.text_revision, state.directory.newest_revision)
+    known = _news(state)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
+    if follower.collection is Collection.EVACUATIONS:
+        told = evacuated_after(state.evacuated, event.objects, event.revision)
+        effects.extend(take_evacuated(state, told, _STORE))
     follower.revision = max(follower.revision, event.revision)
     effects.extend(become_ready(state, now))
     if event.objects and follower.collection is Collection.UPSTREAMS:
         follower.rest(now + GATHER_S)
     else:
         effects.extend(_go_on(state, follower, now))
-    if known != (state.text_revision, state.directory.newest_revision):
+    if known != _news(state):
         effects.extend(announce_change(state, now))
     return effects
 
 
+def _news(state: RoutingState) -> tuple[int, int, frozenset[str]]:
+    """Return what differs when the store has told something that peers should know at once."""
+    return state.text_revision, state.directory.newest_revision, state.evacuated.centres
+
+
 def _go_on(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
     """Watch on, or leave that to others when enough of them do."""
     effect = follower.watch(now, stale=state.reads_stale(follower.collection, now))
@@ -182,8 +199,12 @@
         return take_text(state, stored.content)
     if isinstance(stored.content, UpstreamEntry):
         return take_entry(state, stored.content, now)
+    if isinstance(stored.content, Evacuation):
+        return []
     if isinstance(stored.content, Unreadable):
         return take_unreadable(state, stored.name, stored.revision, stored.content.problem)
+    if follower.collection is Collection.EVACUATIONS:
+        return []
     if follower.collection is Collection.TEXT:
         removed = 'removed; the last text stays in force'
         return take_unreadable(state, stored.name, stored.revision, removed)
@@ -208,6 +229,15 @@
     return effects
 
 
+def _listed_evacuated(state: RoutingState, follower: Follower) -> Evacuated:
+    """Return what a complete listing says of evacuations.
+
+    One whose names could not all be read ends none of those that are known.
+    """
+    known = state.evacuated if follower.has_gaps else NOTHING_EVACUATED
+    return Evacuated(follower.listing_revision or 0, known.centres.union(follower.found))
+
+
 def _on_probe(state: RoutingState, event: ProbeAnswered, now: float) -> list[Effect]:
     if not event.ready:
         state.stopping.note_refusal()
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -10,6 +10,7 @@
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import Effect, FetchView, SendHeartbeat, WriteLine
+from bronzekeel.core.routing.evacuations import take_evacuated
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
@@ -77,6 +78,7 @@
     effects: list[Effect] = []
     sender = heartbeat.sender
     joined = state.peers.note_heartbeat(heartbeat, now)
+    effects.extend(_take_evacuated(state, heartbeat, now))
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_revision and not heartbeat.text_revision):
@@ -203,6 +205,23 @@
     )
 
 
+def _take_evacuated(state: RoutingState, heartbeat: Heartbeat, now: float) -> list[Effect]:
+    """Take what a peer says of evacuations.
+
+    The own watch has to tell the same soon, else it is doubted.  What another data centre
+    told is told on at once: here everybody waits for it.
+    """
+    known = state.evacuated.centres
+    effects = take_evacuated(state, heartbeat.evacuated, heartbeat.sender.name)
+    effects.extend(become_ready(state, now))
+    if state.evacuated.centres == known:
+        return effects
+    state.follower_by_collection[Collection.EVACUATIONS].expect_news(now)
+    if heartbeat.sender.data_centre != state.peers.me.data_centre:
+        effects.extend(announce_change(state, now))
+    return effects
+
+
 def _fetch_from(state: RoutingState, peer: PeerAddress, now: float) -> Effect:
     """Ask a peer for what it knows beyond what is known here."""
     state.fetch_until = now + FETCH_S
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -1,10 +1,15 @@
 """Hold the whole state of a balancer that steers by connection ids."""
 
+from collections.abc import Mapping
+
 from bronzekeel.core.routing.admission import Admission, RequestsPerSlot
 from bronzekeel.core.routing.balance import Balance
+from bronzekeel.core.routing.cold_starts import ColdStarts
 from bronzekeel.core.routing.directory import Directory
+from bronzekeel.core.routing.eligibility import NO_REGIONS, Eligibility
 from bronzekeel.core.routing.flows import FlowTable
 from bronzekeel.core.routing.follower import Collection, Follower
+from bronzekeel.core.routing.messages import Evacuated
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.core.routing.overload import OverloadWatch
 from bronzekeel.core.routing.overflow import RoomElsewhere
@@ -29,14 +34,14 @@
     which entries the store no longer has.  It was started at `started_at`.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
     tell it what their callers ask for.  `unreadable_objects` counts what the store told and
-    could not be read.
-    """
+    could not be read."""
 
     __slots__ = (
         'admission',
         'balance',
         'behind_since',
         'directory',
+        'eligibility',
         'fetch_until',
         'flows',
         'follower_by_collection',
@@ -64,15 +69,24 @@
         stop_within_s: float,
         admission_of: type[Admission] = RequestsPerSlot,
         order_of: type[WaitingOrder] = NewestFirst,
+        region_by_centre: Mapping[str, str] = NO_REGIONS,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         """Start knowing nothing; a stop ends after `stop_within_s` at the latest.
 
         `admission_of` limits requests in progress, and `order_of` ranks those that wait.
+        `region_by_centre` has the regions of data centres, `cold_starts` limits what cold
+        upstreams get.
         """
         self.peers = peers
         self.relays = Relays(peers)
         self.text: RoutingText | None = None
         self.directory = Directory()
+        self.eligibility = Eligibility(
+            self.directory,
+            cold_starts or ColdStarts(peers),
+            region_by_centre,
+        )
         self.flows = FlowTable()
         self.shared_loads = SharedLoads()
         self.balance = Balance()
@@ -105,6 +119,11 @@
         """The store's revision of the text in force, zero when none is."""
         return self.text.revision if self.text else 0
 
+    @property
+    def evacuated(self) -> Evacuated:
+        """The newest that is known of evacuations."""
+        return self.directory.evacuated
+
     @property
     def epoch(self) -> tuple[int, int]:
         """What differs after a change of where packets of open flows go."""
@@ -139,7 +158,7 @@
 
     def reads_stale(self, collection: Collection, now: float) -> bool:
         """Whether a watch of a collection may tell seconds late."""
-        return collection is Collection.UPSTREAMS and not reads_newest(self.relays, now)
+        return collection is not Collection.TEXT and not reads_newest(self.relays, now)
 
     def is_settled(self, now: float) -> bool:
         """Whether both views are current, and lapsed entries had time to come back."""
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -6,7 +6,13 @@
 from bronzekeel.core.routing.connection_ids import opened, sealed
 from bronzekeel.core.routing.flows import Flow
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
-from bronzekeel.core.routing.model import FlowPacket, Route, ServiceShare, Upstream
+from bronzekeel.core.routing.model import (
+    FlowPacket,
+    Route,
+    RoutingText,
+    ServiceShare,
+    Upstream,
+)
 from bronzekeel.core.routing.placement import Placement
 from bronzekeel.core.routing.pools import Pool
 from bronzekeel.core.routing.state import RoutingState
@@ -101,7 +107,7 @@
         if route is None:
             return self._without_route(packet, now)
         if packet.opens:
-            return self._open(packet, route, now, may_wait=may_wait)
+            return self._open(packet, route, text, now, may_wait=may_wait)
         return self._continue(packet, route, now, may_wait=may_wait)
 
     def _without_route(self, packet: FlowPacket, now: float) -> Verdict:
@@ -119,6 +125,7 @@
         self,
         packet: FlowPacket,
         route: Route,
+        text: RoutingText,
         now: float,
         *,
         may_wait: bool,
@@ -129,7 +136,7 @@
                 return Deliver(flow.upstream, _id_of(flow.upstream, route))
             self._state.flows.note_unanswered(flow, now)
         service = _pick(route.shares, packet.flow)
-        candidates = self._state.directory.of_service(service)
+        candidates = self._state.eligibility.of_service(service, route, text, now)
         upstream = self._placement.choose(candidates, now)
         if upstream is None:
             return self._without_upstream(packet, now)
@@ -139,6 +146,7 @@
                 return Wait()
             upstream = elsewhere or upstream
         self._state.flows.place(packet.flow, upstream, now)
+        self._state.eligibility.note_placed(upstream, text, now)
         self._decisions.note(Decision('placed', packet, upstream.entry.name, upstream), now)
         return Deliver(upstream, _id_of(upstream, route))
 
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -9,6 +9,7 @@
 from types import FrameType, MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.cold_starts import ColdStarts
 from bronzekeel.core.routing.effects import (
     DropWaiting,
     Effect,
@@ -91,7 +92,7 @@
         """
         self.loop = Loop()
         me = PeerAddress(settings.name, settings.data_centre, settings.peers)
-        self.state = RoutingState(PeerTable(me, settings.seeds), settings.stop_within_s)
+        self.state = _fresh_state(me, settings)
         self._readiness_path = settings.readiness_path
         self._calls = store_calls
         self._lines = LineLog(settings.name, stream)
@@ -248,6 +249,21 @@
         self._lines.write(number, fields, monotonic())
 
 
+def _fresh_state(me: PeerAddress, settings: EntrySettings) -> RoutingState:
+    peers = PeerTable(me, settings.seeds)
+    return RoutingState(
+        peers,
+        settings.stop_within_s,
+        region_by_centre=settings.region_by_data_centre,
+        cold_starts=ColdStarts(
+            peers,
+            settings.cold_overage,
+            settings.cold_slack,
+            alone=not set(settings.seeds).difference((me.address,)),
+        ),
+    )
+
+
 class _Signals:
     """Turn signals and a changed settings file into events."""
 
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -101,6 +101,7 @@
         'watching': int(state.is_direct(now)),
         'generation': state.text.generation if state.text else 0,
         'routes': len(state.text.route_by_key) if state.text else 0,
+        'data_centres_evacuated': len(state.evacuated.centres),
         'upstreams_listed': state.directory.listed_count,
         'flows_remembered': len(state.flows),
         'peers_living': len(state.peers.living(now)),
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -22,6 +22,7 @@
 )
 from bronzekeel.core.routing.messages import (
     Allowance,
+    Evacuated,
     FlowShare,
     Heartbeat,
     MissingEntry,
@@ -57,8 +58,9 @@
 #: Largest number of an upstream: 64 bits stand before packets.
 _MOST_NUMBER = 0xFFFFFFFFFFFFFFFF
 
-#: What routes have in common that are told together: services with weights, priority, seconds.
-_RouteKind = tuple[tuple[tuple[str, int], ...], int, float]
+#: What routes have in common that are told together: services with weights, priority, seconds,
+#: homes.
+_RouteKind = tuple[tuple[tuple[str, int], ...], int, float, tuple[str, ...]]
 
 #: Fields of an entry in the order in which they are told.
 _ENTRY_FIELDS = (
@@ -97,6 +99,7 @@
             'loads': [
                 (service, round(load, 2)) for service, load in heartbeat.load_by_service.items()
             ],
+            'evacuated': (heartbeat.evacuated.as_of, sorted(heartbeat.evacuated.centres)),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
         },
@@ -118,6 +121,7 @@
             None if fields['shares'] is None else _shares_in(fields['shares']),
             load_by_service={str(service): _figure_in(load) for service, load in fields['loads']},
             allowances=None if fields['room'] is None else _room_in(fields['room']),
+            evacuated=_evacuated_in(*fields['evacuated']),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -220,6 +224,11 @@
     )
 
 
+def _evacuated_in(as_of: Any, centres: list[Any]) -> Evacuated:
+    names = frozenset(label('evacuated', centre) for centre in centres)
+    return Evacuated(whole_number('as_of', as_of), names)
+
+
 def _figure_in(field: Any) -> float:
     """Return a figure that can be reckoned with: zero or more, and no infinity."""
     figure = float(field)
@@ -238,12 +247,13 @@
     keys_by_kind: dict[_RouteKind, list[str]] = {}
     for route in text.route_by_key.values():
         shares = tuple((share.service, share.weight) for share in route.shares)
-        kind = (shares, route.priority, route.timeout_s)
+        kind = (shares, route.priority, route.timeout_s, tuple(sorted(route.homes)))
         keys_by_kind.setdefault(kind, []).append(route.key.hex())
     return {
         'generation': text.generation,
         'revision': text.revision,
         'idle_s': text.idle_s,
+        'cold_rates': list(text.cold_rate_by_service.items()),
         'groups': [(*kind, ''.join(keys)) for kind, keys in keys_by_kind.items()],
     }
 
@@ -255,6 +265,7 @@
         int(fields['revision']),
         route_by_key,
         float(fields['idle_s']),
+        {str(service): _figure_in(rate) for service, rate in fields['cold_rates']},
     )
 
 
@@ -262,13 +273,15 @@
     listed: list[Any],
     priority: int,
     timeout_s: float,
+    listed_homes: list[Any],
     keys_hex: str,
 ) -> Iterator[Route]:
+    homes = frozenset(label('homes', region) for region in listed_homes)
     shares = tuple(ServiceShare(str(service), int(weight)) for service, weight in listed)
     keys = bytes.fromhex(keys_hex)
     for place in range(0, len(keys), _KEY_BYTES):
         key = keys[place : place + _KEY_BYTES]
-        yield Route(key, shares, seal_of(key), int(priority), _figure_in(timeout_s))
+        yield Route(key, shares, seal_of(key), int(priority), _figure_in(timeout_s), homes)
 
 
 def _entry_out(entry: UpstreamEntry) -> list[object]:
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -18,6 +18,8 @@
 
 _MOST_PORT = 65535
 _MOST_STOP_S = 3600
+_MOST_FIGURE = 1000
+_USUAL_OVERAGE = 1
 _OCTETS = 4
 _MOST_OCTET = 255
 
@@ -33,9 +35,13 @@
     those of some peers.  Peers are told `peers_advertised` in place of `peers` where it is
     set.  `readiness_path` is what the fabric's probes ask for;
     `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
+    `region_by_data_centre` says where upstreams of routes with homes may be.  Cold upstreams
+    together get at most `cold_overage` times the stated requests a second, and `cold_slack` more.
     """
 
     __slots__ = (
+        'cold_overage',
+        'cold_slack',
         'data_centre',
         'name',
         'packets',
@@ -43,6 +49,7 @@
         'peers_advertised',
         'readiness',
         'readiness_path',
+        'region_by_data_centre',
         'seeds',
         'stop_within_s',
         'store',
@@ -61,6 +68,9 @@
         self.readiness_path = _text(fields, 'readiness_path')
         self.store = _address(fields, 'store')
         self.stop_within_s = _seconds(fields, 'stop_within_s')
+        self.region_by_data_centre = _texts_by_name(fields, 'region_by_data_centre')
+        self.cold_overage = _figure(fields, 'cold_overage', _USUAL_OVERAGE, least=1)
+        self.cold_slack = _figure(fields, 'cold_slack', 0)
         self.weighs = _one_of(fields, 'weighs', (BROKEN_FLOWS, IMBALANCE))
         if fields.get('steering') != STEERING:
             raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
@@ -137,6 +147,29 @@
     return octet.isdecimal() and int(octet) <= _MOST_OCTET
 
 
+def _texts_by_name(fields: Mapping[str, object], name: str) -> dict[str, str]:
+    """Return a table of texts; an empty one when there is none."""
+    found = fields.get(name, {})
+    if not isinstance(found, dict):
+        raise SettingsError(f'$.{name}: {found!r} is no table')
+    return {key: _text(found, key) for key in found}
+
+
+def _figure(
+    fields: Mapping[str, object],
+    name: str,
+    usual: float,
+    least: float = 0,
+) -> float:
+    """Return a number from `least` on; the `usual` one when there is none."""
+    found = fields.get(name, usual)
+    if isinstance(found, bool) or not isinstance(found, (int, float)):
+        raise SettingsError(f'$.{name}: {found!r} is no number')
+    if not least <= found <= _MOST_FIGURE:
+        raise SettingsError(f'$.{name}: {found} is not between {least} and {_MOST_FIGURE}')
+    return float(found)
+
+
 def _seconds(fields: Mapping[str, object], name: str) -> float:
     found = fields.get(name)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
--- a/src/bronzekeel/platform/calls.py
+++ b/src/bronzekeel/platform/calls.py
@@ -13,10 +13,12 @@
 #: Allows an answer that is seconds old; the store charges a tenth for it.
 STALE = 'serializable=1'
 
-#: Kinds and the name that the users' page gives to texts and upstreams.
+#: Kinds and the name that the users' page gives to texts, upstreams and evacuations; one of
+#: these lies under the name of its data centre.
 TEXT_KIND = 'config'
 TEXT_NAME = 'main'
 UPSTREAMS_KIND = 'servers'
+EVACUATIONS_KIND = 'evacuations'
 
 _MS = 1000
 
--- a/src/bronzekeel/platform/machine.py
+++ b/src/bronzekeel/platform/machine.py
@@ -3,6 +3,9 @@
 from typing import Any
 
 
+#: The one region in which stand-ins of hosts are.
+_REGION = 'here'
+
 _Address = tuple[str, int]
 
 
@@ -37,6 +40,7 @@
     return {
         'nodeName': place.name,
         'zone': place.data_centre,
+        'zones': {place.data_centre: _REGION},
         'listenAddrs': {
             'datagramAddr': _spelled(place.packets),
             'ready': _spelled(place.readiness),
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -15,6 +15,7 @@
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
+    Evacuation,
     Event,
     HistoryLost,
     PageRead,
@@ -28,11 +29,12 @@
     RoutingText,
     ServiceShare,
 )
-from bronzekeel.core.routing.field_checks import label, whole_number
+from bronzekeel.core.routing.field_checks import MOST_RATE, figure, label, whole_number
 from bronzekeel.entry.ports import StoreCalls
 from bronzekeel.platform.bodies import BODY_FAULTS, decode_body
 from bronzekeel.platform.entries import read_entry
 from bronzekeel.platform.calls import (
+    EVACUATIONS_KIND,
     TEXT_KIND,
     TEXT_NAME,
     UPSTREAMS_KIND,
@@ -42,7 +44,11 @@
 
 
 _KIND_BY_COLLECTION = MappingProxyType(
-    {Collection.TEXT.value: TEXT_KIND, Collection.UPSTREAMS.value: UPSTREAMS_KIND},
+    {
+        Collection.TEXT.value: TEXT_KIND,
+        Collection.UPSTREAMS.value: UPSTREAMS_KIND,
+        Collection.EVACUATIONS.value: EVACUATIONS_KIND,
+    },
 )
 _OK = 200
 _GONE = 410
@@ -122,6 +128,8 @@
         return StoredObject('', 0, Unreadable(repr(fault)))
     if removed:
         return StoredObject(name, revision, None)
+    if collection == Collection.EVACUATIONS:
+        return StoredObject(name, revision, Evacuation())
     try:
         if collection == Collection.UPSTREAMS:
             return StoredObject(name, revision, read_entry(name, revision, item['spec']))
@@ -139,7 +147,25 @@
         route_by_key[route.key] = route
     limits = spec.get('limits') or {}
     idle_ms = int(limits.get('idleTimeoutMs') or _DEFAULT_IDLE_MS)
-    return RoutingText(int(spec['version']), revision, route_by_key, idle_ms / _MS)
+    return RoutingText(
+        int(spec['version']),
+        revision,
+        route_by_key,
+        idle_ms / _MS,
+        _cold_rates(spec.get('services') or []),
+    )
+
+
+def _cold_rates(services: list[dict[str, Any]]) -> dict[str, float]:
+    """Return the requests a second that cold upstreams bear, where a service states any.
+
+    `warmupPerS` is zero for a service that states none.
+    """
+    rates = {
+        label('name', item['name']): figure('warmupPerS', item.get('warmupPerS') or 0, MOST_RATE)
+        for item in services
+    }
+    return {service: rate for service, rate in rates.items() if rate > 0}
 
 
 def _route(item: dict[str, Any]) -> Route:
@@ -158,4 +184,5 @@
         seal_of(key),
         int(item.get('priority') or 0),
         timeout_ms / _MS if timeout_ms > 0 else USUAL_TIMEOUT_S,
+        frozenset(label('allowedRegions', region) for region in item.get('allowedRegions') or ()),
     )
--- a/src/bronzekeel/standins/template.py
+++ b/src/bronzekeel/standins/template.py
@@ -24,6 +24,8 @@
 
 def _section(match: re.Match[str], fields: Mapping[str, Any]) -> str:
     listed = _found(fields, match[1])
+    if not isinstance(listed, list):
+        return '' if listed is None else _with_places(match[2], fields)
     parts = []
     for place, item in enumerate(listed):
         comma = ',' if place < len(listed) - 1 else ''
@@ -33,10 +35,10 @@
 
 
 def _found(fields: Mapping[str, Any], name: str) -> Any:
-    """Return what stands under a dotted name, or the current item."""
+    """Return what stands under a dotted name, None if nothing does, or the current item."""
     if name == _THIS:
         return fields[_THIS]
     found: Any = fields
     for part in name.split('.'):
-        found = found[part]
+        found = found.get(part)
     return found
--- a/tests/routing_cases.py
+++ b/tests/routing_cases.py
@@ -99,6 +99,7 @@
     state = fresh_state(admission_of=admission_of)
     reduce(state, page(Collection.TEXT, text(1)), now)
     reduce(state, page(Collection.UPSTREAMS, *entries), now)
+    reduce(state, page(Collection.EVACUATIONS), now)
     return state
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -51,7 +51,7 @@
 class ListingTest(TestCase):
     """Read everything before taking traffic."""
 
-    def test_ready_only_after_all_pages_of_both(self) -> None:
+    def test_ready_only_after_all_pages_of_all(self) -> None:
         """Symptom: a fresh host refuses callers whose upstreams exist.
 
         Sequence: the list of upstreams has two pages; the host serves after one.
@@ -59,7 +59,8 @@
         """
         state = fresh_state()
         asked = reduce(state, Started(), 0)
-        self.assertEqual(2, len(of_kind(asked, ReadPage)))
+        self.assertEqual(len(Collection), len(of_kind(asked, ReadPage)))
+        reduce(state, page(Collection.EVACUATIONS), 0)
         reduce(state, page(Collection.TEXT, text(1)), 0)
         first = PageRead(
             Collection.UPSTREAMS,
@@ -83,6 +84,7 @@
         state = fresh_state()
         reduce(state, page(Collection.TEXT), 0)
         reduce(state, page(Collection.UPSTREAMS, entry(1)), 0)
+        reduce(state, page(Collection.EVACUATIONS), 0)
         self.assertFalse(state.ready)
         newer = ChangesRead(Collection.TEXT, [StoredObject('main', 5, text(5))], 5)
         reduce(state, newer, 1)
@@ -167,15 +169,15 @@
         self.assertEqual([4], [watch.revision for watch in watches])
 
     def test_a_lost_store_is_logged_once_and_its_return_too(self) -> None:
-        """One line for a lost dependency, one for a regained one."""
+        """One line a collection for a lost dependency, one for a regained one."""
         fleet = fleet_of(1, ('dc-a',))
         node = fleet.node_by_name['dc-a-1']
         fleet.lose_store(['dc-a-1'], 'refuses')
         fleet.run(6)
         fleet.lose_store(['dc-a-1'], 'serves')
         fleet.run(4)
-        self.assertEqual(2, node.lines[LogNumber.PLATFORM_LOST])
-        self.assertEqual(2, node.lines[LogNumber.PLATFORM_BACK])
+        self.assertEqual(len(Collection), node.lines[LogNumber.PLATFORM_LOST])
+        self.assertEqual(len(Collection), node.lines[LogNumber.PLATFORM_BACK])
 
 
 class LapseTest(TestCase):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -221,6 +221,7 @@
         _turn_bad(known, 60)
         fresh = fresh_state('a2')
         reduce(fresh, page(Collection.TEXT, text(1)), 1)
+        reduce(fresh, page(Collection.EVACUATIONS), 1)
         bad = StoredObject(entry(1).name, 60, Unreadable('bytes'))
         reduce(fresh, PageRead(Collection.UPSTREAMS, [bad], 60, more=False), 1)
         view = decode_view(encode_view(view_since(known, Known(1, 60, 0), 1)))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -84,6 +84,7 @@
             listed.address = upstream.getsockname()
             reduce(state, page(Collection.TEXT, text(1, route(_SERVICE_KEY, PORTAL))), 0)
             reduce(state, page(Collection.UPSTREAMS, listed), 0)
+            reduce(state, page(Collection.EVACUATIONS), 0)
             packets.release_held()
             opened = upstream.recv(4096)
             self.assertEqual(1, int.from_bytes(opened[:8], 'big'))
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -35,7 +35,7 @@
 _SETTLED_S = 20
 _CHANGES = 40
 _CHANGE_S = 0.1
-_COLLECTIONS = 2
+_COLLECTIONS = len(Collection)
 
 #: Seconds within which a data centre whose own watches are deaf or stale has what another knows:
 #: the interval of word between data centres, the wait before another is asked, and a fetch.
@@ -162,6 +162,7 @@
         reduce(state, Started(), 0)
         reduce(state, page(Collection.TEXT, text(1)), 0)
         reduce(state, page(Collection.UPSTREAMS, entry(1)), 0)
+        reduce(state, page(Collection.EVACUATIONS), 0)
         self.assertTrue(state.ready)
         self.assertFalse(state.is_current(0.1))
         unknown = opening(1, key=bytes((198, 18, 0, 9, 1, 187)))
@@ -174,9 +175,10 @@
         reduce(state, Started(), 0)
         reduce(state, page(Collection.TEXT, text(1)), 0)
         reduce(state, page(Collection.UPSTREAMS, entry(1)), 0)
+        reduce(state, page(Collection.EVACUATIONS), 0)
         effects = reduce(state, Ticked(), LISTEN_S)
         waits = [effect.wait_s for effect in effects if isinstance(effect, WatchChanges)]
-        self.assertEqual([PROVING_WATCH_S, PROVING_WATCH_S], waits)
+        self.assertEqual([PROVING_WATCH_S for _ in Collection], waits)
         self.assertFalse(state.is_current(LISTEN_S))
         for collection in Collection:
             reduce(state, ChangesRead(collection, [], 1), LISTEN_S)
--- a/tests/test_view_model.py
+++ b/tests/test_view_model.py
@@ -26,6 +26,9 @@
 _UPSTREAMS = st.integers(1, 4)
 _PEER = ('p', 9)
 
+#: What views tell; evacuations have a search of their own (`tests/test_evacuations.py`).
+_VIEWED = (Collection.TEXT, Collection.UPSTREAMS)
+
 
 class Views(RuleBasedStateMachine):
     """Let three balancers read a store, each other, stale answers, and restart.
@@ -44,7 +47,7 @@
         self.store.put(Collection.TEXT, 'main', text)
         self.states = [self.fresh(number) for number in range(3)]
         self.seen: list[dict[str, int]] = [{} for _ in self.states]
-        self.kept_answers = [self.store.page(collection) for collection in Collection]
+        self.kept_answers = [self.store.page(collection) for collection in _VIEWED]
         self.kept_views: list[View] = []
 
     def fresh(self, host: int) -> RoutingState:
@@ -77,14 +80,14 @@
         """Forget the store's history."""
         self.store.compact()
 
-    @rule(host=_HOSTS, collection=st.sampled_from(list(Collection)))
+    @rule(host=_HOSTS, collection=st.sampled_from(_VIEWED))
     def read_page(self, host: int, collection: Collection) -> None:
         """Let a host list a collection, and keep the answer for later."""
         answer = self.store.page(collection)
         self.kept_answers.append(answer)
         self._take(host, answer)
 
-    @rule(host=_HOSTS, collection=st.sampled_from(list(Collection)))
+    @rule(host=_HOSTS, collection=st.sampled_from(_VIEWED))
     def read_changes(self, host: int, collection: Collection) -> None:
         """Let a host's watch answer."""
         follower = self.states[host].follower_by_collection[collection]
