Queue packets before a narrow link, flows in turn

Cause: a caller sends the first sixteen packets of an upload at once (19 KB). They leave faster than a link of 5 Mbit/s takes them, and what it cannot take is lost: sent again after 0.2, 0.4 s and so on; requests of others are lost beside.

Tests: test_link_queue (a replay of three uploads beside single requests).

--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -9,7 +9,6 @@
 from types import FrameType, MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.cold_starts import ColdStarts
 from bronzekeel.core.routing.effects import (
     DropWaiting,
     Effect,
@@ -30,12 +29,11 @@
     StopAsked,
     Ticked,
 )
+from bronzekeel.core.routing.link_queue import queue_before
 from bronzekeel.core.routing.messages import Known, PeerAddress, View
-from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.placement import EqualWork, LeastBusy, Placement
 from bronzekeel.core.routing.reducer import TICK_S, reduce
 from bronzekeel.core.routing.sharing import view_since
-from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.entry.http_client import Call, HttpConnection
@@ -62,6 +60,7 @@
     SettingsError,
     read_entry_settings,
 )
+from bronzekeel.entry.starting_state import starting_state
 
 
 _STDOUT = 1
@@ -92,7 +91,7 @@
         """
         self.loop = Loop()
         me = PeerAddress(settings.name, settings.data_centre, settings.peers)
-        self.state = _fresh_state(me, settings)
+        self.state = starting_state(me, settings)
         self._readiness_path = settings.readiness_path
         self._calls = store_calls
         self._lines = LineLog(settings.name, stream)
@@ -107,6 +106,7 @@
             packet_format,
             steering,
             self._note_bad_packet,
+            link=queue_before(settings.link_mbps),
         )
         self.readiness = HttpServer(
             self.loop,
@@ -249,21 +249,6 @@
         self._lines.write(number, fields, monotonic())
 
 
-def _fresh_state(me: PeerAddress, settings: EntrySettings) -> RoutingState:
-    peers = PeerTable(me, settings.seeds)
-    return RoutingState(
-        peers,
-        settings.stop_within_s,
-        region_by_centre=settings.region_by_data_centre,
-        cold_starts=ColdStarts(
-            peers,
-            settings.cold_overage,
-            settings.cold_slack,
-            alone=not set(settings.seeds).difference((me.address,)),
-        ),
-    )
-
-
 class _Signals:
     """Turn signals and a changed settings file into events."""
 
--- a/src/bronzekeel/entry/packets.py
+++ b/src/bronzekeel/entry/packets.py
@@ -7,6 +7,7 @@
 
 from bronzekeel.core.routing.flows import MOST_FLOWS, Flow
 from bronzekeel.core.routing.holding import HeldPackets
+from bronzekeel.core.routing.link_queue import LinkQueue, Outgoing
 from bronzekeel.core.routing.model import FlowPacket, Upstream
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict, Wait
@@ -20,6 +21,7 @@
 _DELIVERED = 'delivered'
 _WAITED = 'waited'
 _STALE = 'stale'
+_NO_LINK = 'no_room_on_link'
 
 #: Flows whose path is kept at most; with more all are looked up anew.
 #: Source: as many as are remembered (``MOST_FLOWS``).
@@ -58,8 +60,13 @@
         steering: ConnectionIdSteering,
         note_fault: _Fault,
         clock: Callable[[], float] = monotonic,
+        link: LinkQueue | None = None,
     ) -> None:
-        """Start to take packets of a `bound` socket; `steering` decides."""
+        """Start to take packets of a `bound` socket; `steering` decides.
+
+        With a `link` datagrams leave at its rate.
+        """
+        self._link = link
         self._clock = clock
         self._count_by_fate: dict[str, int] = {}
         self._kept = 0
@@ -85,6 +92,8 @@
         """Packets by what became of them."""
         counts = dict(self._count_by_fate)
         counts[_DELIVERED] = counts.get(_DELIVERED, 0) + self._kept
+        if self._link is not None:
+            counts[_NO_LINK] = self._link.lost
         return counts
 
     @property
@@ -165,10 +174,7 @@
             return False
         self._step(path.flow, now, sequence, acknowledged, payload_bytes > 0)
         self._kept += 1
-        try:
-            self._socket.sendto(path.prefix + raw, path.address)
-        except OSError as refused:
-            self._note_refused(refused, raw)
+        self._leave(key, sequence, path.prefix + raw, path.address, now)
         return True
 
     def _take(self, raw: bytes, now: float) -> None:
@@ -186,8 +192,9 @@
         if isinstance(verdict, Deliver):
             self._count(_DELIVERED)
             self._remember_path(packet.raw, verdict)
-            self._send(
-                *self._format.delivery(packet, verdict.upstream, verdict.connection_id),
+            raw, address = self._format.delivery(packet, verdict.upstream, verdict.connection_id)
+            self._leave(
+                self._positions(packet.raw)[1], packet.sequence, raw, address, self._clock()
             )
             return
         if isinstance(verdict, Wait):
@@ -205,6 +212,36 @@
         prefix = self._format.prefix(upstream)
         self._path_by_key[key] = _KnownPath(prefix, upstream, verdict.flow)
 
+    def _leave(
+        self,
+        key: bytes,
+        sequence: int,
+        raw: bytes,
+        address: tuple[str, int],
+        now: float,
+    ) -> None:
+        """Send a datagram now, or when the link has room for it."""
+        link = self._link
+        if link is None or link.passes(len(raw), now):
+            self._send(raw, address)
+            return
+        waited = len(link)
+        link.add(Outgoing(key, sequence, raw, address))
+        if not waited:
+            self._loop.call_at(link.next_at, self._send_due)
+
+    def _send_due(self) -> None:
+        """Send what the link has room for, and come again while something waits."""
+        link = self._link
+        if link is None:
+            return
+        outgoing = link.take_due(self._clock())
+        while outgoing is not None:
+            self._send(outgoing.raw, outgoing.address)
+            outgoing = link.take_due(self._clock())
+        if link:
+            self._loop.call_at(link.next_at, self._send_due)
+
     def _send(self, raw: bytes, address: tuple[str, int]) -> None:
         """Send a datagram; one that the kernel refuses is lost like any other."""
         try:
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -18,7 +18,7 @@
 
 _MOST_PORT = 65535
 _MOST_STOP_S = 3600
-_MOST_FIGURE = 1000
+_MOST_FIGURE = 1e6
 _USUAL_OVERAGE = 1
 _OCTETS = 4
 _MOST_OCTET = 255
@@ -37,12 +37,14 @@
     `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
     `region_by_data_centre` says where upstreams of routes with homes may be.  Cold upstreams
     together get at most `cold_overage` times the stated requests a second, and `cold_slack` more.
+    `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at once.
     """
 
     __slots__ = (
         'cold_overage',
         'cold_slack',
         'data_centre',
+        'link_mbps',
         'name',
         'packets',
         'peers',
@@ -71,6 +73,7 @@
         self.region_by_data_centre = _texts_by_name(fields, 'region_by_data_centre')
         self.cold_overage = _figure(fields, 'cold_overage', _USUAL_OVERAGE, least=1)
         self.cold_slack = _figure(fields, 'cold_slack', 0)
+        self.link_mbps = _figure(fields, 'link_mbps', 0)
         self.weighs = _one_of(fields, 'weighs', (BROKEN_FLOWS, IMBALANCE))
         if fields.get('steering') != STEERING:
             raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
--- /dev/null
+++ b/src/bronzekeel/entry/starting_state.py
@@ -0,0 +1,24 @@
+"""Make the state of a balancer that starts from its settings."""
+
+from bronzekeel.core.routing.cold_starts import ColdStarts
+from bronzekeel.core.routing.messages import PeerAddress
+from bronzekeel.core.routing.peers import PeerTable
+from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.entry.settings import EntrySettings
+
+
+def starting_state(me: PeerAddress, settings: EntrySettings) -> RoutingState:
+    """Return the state of the balancer that peers know as `me`; it knows nothing yet."""
+    peers = PeerTable(me, settings.seeds)
+    cold_starts = ColdStarts(
+        peers,
+        settings.cold_overage,
+        settings.cold_slack,
+        alone=not set(settings.seeds).difference((me.address,)),
+    )
+    return RoutingState(
+        peers,
+        settings.stop_within_s,
+        region_by_centre=settings.region_by_data_centre,
+        cold_starts=cold_starts,
+    )
--- /dev/null
+++ b/tests/test_link_queue.py
@@ -0,0 +1,217 @@
+"""Replay bursts before a narrow link: what is lost, and who waits for whom."""
+
+from collections import deque
+from collections.abc import Iterator
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzekeel.core.routing.link_queue import (
+    AHEAD_S,
+    HEAD_BYTES,
+    LATE_S,
+    LINK_SHARE,
+    MOST_WAIT_S,
+    InTurn,
+    LinkQueue,
+    Outgoing,
+    SendingOrder,
+)
+
+
+_MBPS = 5.0
+_BYTES_PER_S = _MBPS * 1e6 / 8
+_BULK_BYTES = 1239
+_REQUEST_BYTES = 300
+_BURST = 16
+_LINK_HOLDS_S = 0.004
+
+#: Milliseconds that are played.
+_STEPS = 1000
+_TO = ('10.0.0.1', 80)
+
+_PACKETS = st.lists(
+    st.tuples(st.integers(0, 3), st.integers(40, 1300), st.floats(0, 0.02)),
+    max_size=60,
+)
+
+
+class _AsTheyCame(SendingOrder):
+    """Send in the order in which datagrams came: the other way that was weighed."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[Outgoing] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, outgoing: Outgoing) -> bool:
+        """Take a datagram behind all others."""
+        self._waiting.append(outgoing)
+        return True
+
+    def take(self) -> Outgoing | None:
+        """Take out the first."""
+        return self._waiting.popleft() if self._waiting else None
+
+
+class _Link:
+    """Stand in for a link that holds 4 ms of its rate and loses the rest."""
+
+    def __init__(self) -> None:
+        self.lost = 0
+        self._free_at: float = 0
+
+    def send(self, size: int, now: float) -> None:
+        """Take a datagram or lose it."""
+        if self._free_at - now > _LINK_HOLDS_S:
+            self.lost += 1
+            return
+        self._free_at = max(self._free_at, now) + (size + HEAD_BYTES) / _BYTES_PER_S
+
+
+class LoadTest(TestCase):
+    """Three uploads begin together; a request comes each 10 ms."""
+
+    def test_uploads_at_once(self) -> None:
+        """Symptom: uploads take seconds on hosts that do nothing else.
+
+        Sequence: callers send sixteen packets each at once over a link of 5 Mbit/s.
+        Cause: what is forwarded at once the link has to lose.
+        """
+        lost, _ = _played(None)
+        self.assertGreater(lost, _BURST)
+        lost, _ = _played(InTurn())
+        self.assertEqual(0, lost)
+
+    def test_requests_do_not_wait_for_uploads(self) -> None:
+        """Symptom: requests of one packet are late while others upload.
+
+        Sequence: a request comes behind three bursts.
+        Cause: datagrams leave in the order in which they came.
+        """
+        _, in_turn_s = _played(InTurn())
+        _, as_they_came_s = _played(_AsTheyCame())
+        packet_s = (_BULK_BYTES + HEAD_BYTES) / (_BYTES_PER_S * LINK_SHARE)
+        self.assertLess(in_turn_s, 2 * packet_s)
+        self.assertGreater(as_they_came_s, _BURST * packet_s)
+
+
+class QueueTest(TestCase):
+    """What holds whatever comes."""
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(packets=_PACKETS)
+    def test_rate_and_order(self, packets: list[tuple[int, int, float]]) -> None:
+        """No span has more than the rate, nothing is lost twice, and flows stay in order."""
+        queue = LinkQueue(_MBPS, InTurn())
+        now: float = 0
+        left: list[tuple[float, int, int, int]] = []
+        for sequence, (flow, size, gap_s) in enumerate(packets):
+            now += gap_s
+            _drain(queue, now, left)
+            if queue.passes(size, now):
+                left.append((now, flow, sequence, size))
+            else:
+                queue.add(Outgoing(bytes((flow,)), sequence, bytes(size), _TO))
+        _drain(queue, now + 10, left)
+        self.assertEqual(len(packets), len(left) + queue.lost)
+        for flow in range(4):
+            of_flow = [entry[2] for entry in left if entry[1] == flow]
+            self.assertEqual(sorted(of_flow), of_flow)
+        self._assert_within_rate(left)
+
+    def test_a_repeat_of_what_waits_is_left_out(self) -> None:
+        """Symptom: a link that is full gets fuller by what callers repeat.
+
+        Sequence: a burst waits for longer than 0.2 s; its caller sends all of it again.
+        Cause: the same bytes wait twice.
+        """
+        order = InTurn()
+        for sequence in (1, 2, 1, 2):
+            order.add(Outgoing(b'f', sequence, b'same size', _TO))
+        self.assertEqual(2, len(order))
+
+    def test_what_waits_is_bounded(self) -> None:
+        """A flood is lost as it would be on the link, and counted."""
+        queue = LinkQueue(_MBPS, InTurn())
+        queue.passes(_BULK_BYTES, 0)
+        for sequence in range(1000):
+            queue.add(Outgoing(b'f', sequence, bytes(_BULK_BYTES), _TO))
+        self.assertLessEqual(len(queue) * _BULK_BYTES, _BYTES_PER_S * MOST_WAIT_S)
+        self.assertEqual(1000, len(queue) + queue.lost)
+
+    def test_a_wide_link_holds_nothing_back(self) -> None:
+        """At 1,000 Mbit/s a burst leaves at once."""
+        queue = LinkQueue(1000, InTurn())
+        self.assertTrue(all(queue.passes(_BULK_BYTES, 0) for _ in range(_BURST)))
+
+    def _assert_within_rate(self, left: list[tuple[float, int, int, int]]) -> None:
+        for place, first in enumerate(left):
+            taken: float = 0
+            for later in left[place:]:
+                taken += (later[3] + HEAD_BYTES) / (_BYTES_PER_S * LINK_SHARE)
+                longest = (later[3] + HEAD_BYTES) / (_BYTES_PER_S * LINK_SHARE)
+                within = later[0] - first[0] + longest + 2 * AHEAD_S + LATE_S
+                self.assertLessEqual(taken, within + 1e-9)
+
+
+def _drain(queue: LinkQueue, now: float, left: list[tuple[float, int, int, int]]) -> None:
+    """Let go of what may leave until `now`, at the moments at which it may."""
+    while queue and queue.next_at <= now:
+        at = max(queue.next_at, 0)
+        outgoing = queue.take_due(at)
+        if outgoing is None:
+            return
+        left.append((at, outgoing.flow[0], outgoing.sequence, len(outgoing.raw)))
+
+
+def _played(order: SendingOrder | None) -> tuple[int, float]:
+    """Play the load; return what the link lost and the longest that a request waited."""
+    link = _Link()
+    if order is None:
+        for step in range(_STEPS):
+            for outgoing in _arriving(step):
+                link.send(len(outgoing.raw), step / _STEPS)
+        return link.lost, 0
+    queue = LinkQueue(_MBPS, order)
+    longest_s: float = 0
+    for step in range(_STEPS):
+        now = step / _STEPS
+        for outgoing in (*_arriving_late(queue, step), *_leaving(queue, now)):
+            link.send(len(outgoing.raw), now)
+            if len(outgoing.raw) == _REQUEST_BYTES:
+                longest_s = max(longest_s, now - outgoing.sequence / _STEPS)
+    return link.lost, longest_s
+
+
+def _arriving_late(queue: LinkQueue, step: int) -> Iterator[Outgoing]:
+    """Put what comes into the queue, but for what may pass at once."""
+    for outgoing in _arriving(step):
+        if queue.passes(len(outgoing.raw), step / _STEPS):
+            yield outgoing
+        else:
+            queue.add(outgoing)
+
+
+def _leaving(queue: LinkQueue, now: float) -> Iterator[Outgoing]:
+    outgoing = queue.take_due(now)
+    while outgoing is not None:
+        yield outgoing
+        outgoing = queue.take_due(now)
+
+
+def _arriving(step: int) -> list[Outgoing]:
+    """Return what comes in a millisecond; a request's sequence tells when it came."""
+    arrived = []
+    if step % 500 == 0:
+        for upload in (b'u1', b'u2', b'u3'):
+            flow = b'%s%d' % (upload, step)
+            arrived.extend(
+                Outgoing(flow, packet, bytes(_BULK_BYTES), _TO) for packet in range(_BURST)
+            )
+    if step % 10 == 5:
+        flow = b'r%d' % step
+        arrived.append(Outgoing(flow, step, bytes(_REQUEST_BYTES), _TO))
+    return arrived
