Tell neighbours which upstreams leave opening packets unanswered

Change: heartbeats tell which upstreams a host itself found silent and how often in a row; neighbours count that as own findings, and each further one makes the wait four times as long (0.5, 2, 4 s). Only a host that was answered by some upstream within a second tells; an own answer within a second is believed more. Openings are looked through with each batch of packets.

--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -23,15 +23,18 @@
 MOST_FLOWS = 28_000
 
 #: Seconds for which an upstream gets no new flows after an opening packet that it left
-#: unanswered; each further one in a row doubles it.
-#: Source: an opening packet is repeated after 0.2 and 0.6 s; a repeat must find
+#: unanswered.  Source: an opening packet is repeated after 0.2 and 0.6 s; a repeat must find
 #: the upstream of the packet before it still avoided.
 AVOID_S = 0.5
 
+#: How many times longer that is after each further one in a row.  Source: two in a row are seldom
+#: lost by chance, and the entry of an upstream that crashed lapses after two seconds.
+AVOID_FACTOR = 4
+
 #: Seconds that an upstream is avoided at most before it is tried again.
 MOST_AVOID_S = 4.0
 
-_MOST_DOUBLINGS = 3
+_MOST_GROWTH = 3
 
 #: Flows that one call of ``expire`` looks at: some, and a share of all.
 #: Source: called each tenth of a second it has seen all after six seconds,
@@ -40,6 +43,11 @@
 _SWEEPS = 64
 
 
+def avoid_s(unanswered: int) -> float:
+    """Return the seconds without new flows after so many unanswered opening packets in a row."""
+    return min(AVOID_S * AVOID_FACTOR ** min(unanswered - 1, _MOST_GROWTH), MOST_AVOID_S)
+
+
 class Flow:
     """Hold what was seen of one flow.
 
@@ -89,7 +97,8 @@
     """Hold the flows that were seen of late.
 
     `answers` counts the times from requests to the acknowledgements of their
-    answers, `requests_by_service` the requests, new flows too.
+    answers, `requests_by_service` the requests, new flows too.  Some upstream answered an opening
+    packet at `heard_at`, and one was found not to at `silent_at`.
     """
 
     def __init__(self) -> None:
@@ -98,6 +107,8 @@
         self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._opening_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self.answers = Histogram()
+        self.heard_at: float = 0
+        self.silent_at: float = 0
         self.requests_by_service: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -131,7 +142,8 @@
         if not flow.answered:
             flow.answered = True
             self._opening_by_key.pop(flow.key, None)
-            _note_answered(upstream)
+            self.heard_at = now
+            _note_answered(upstream, now)
         asks = packet.payload_bytes > 0 or packet.closes
         self.step(flow, now, packet.sequence, packet.acknowledged, asks)
         if packet.closes:
@@ -172,9 +184,10 @@
         if upstream is None or flow.answered or flow.unanswered:
             return
         flow.unanswered = True
-        wait_s = AVOID_S * 2 ** min(upstream.unanswered, _MOST_DOUBLINGS)
         upstream.unanswered += 1
-        upstream.avoided_until = now + min(wait_s, MOST_AVOID_S)
+        self.silent_at = now
+        upstream.silent_until = now + avoid_s(upstream.unanswered)
+        upstream.avoided_until = max(upstream.avoided_until, upstream.silent_until)
 
     def drop(self, key: bytes) -> None:
         """Forget a flow."""
@@ -292,8 +305,10 @@
     flow.closed = True
 
 
-def _note_answered(upstream: Upstream | None) -> None:
+def _note_answered(upstream: Upstream | None, now: float) -> None:
     """Note that an upstream answered an opening packet."""
     if upstream is not None:
+        upstream.answered_at = now
         upstream.unanswered = 0
         upstream.avoided_until = 0
+        upstream.silent_until = 0
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -6,6 +6,7 @@
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
+from bronzekeel.core.routing.silence import silent_upstreams
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -77,6 +78,7 @@
         _largest(state.balance.meter.by_service, MOST_RATES),
         state.balance.shares if state.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
+        unanswered_by_number=silent_upstreams(state, now),
         evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -7,6 +7,7 @@
 
 
 _NO_RATES: Mapping[str, float] = MappingProxyType({})
+_NOBODY: Mapping[int, int] = MappingProxyType({})
 
 
 class FlowShare:
@@ -75,8 +76,9 @@
     those that it reckoned, None if it has heard too little from other data centres.
     `load_by_service` tells other data centres how many requests of its data centre's callers
     are in progress there, for each slot.  `allowances` say what others have room for, None if it
-    has heard too little from them.  `evacuated` says what it knows of evacuations: all of it, so
-    that nobody has to ask.  `others` are peers that it knows.
+    has heard too little from them.  `unanswered_by_number` says how many opening packets in a row
+    upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
+    evacuations: all of it, so that nobody has to ask.  `others` are peers that it knows.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         'shares',
         'stopping',
         'text_revision',
+        'unanswered_by_number',
         'upstreams_revision',
     )
 
@@ -108,6 +111,7 @@
         load_by_service: Mapping[str, float] = _NO_RATES,
         allowances: tuple[Allowance, ...] | None = None,
         evacuated: Evacuated = NOTHING_EVACUATED,
+        unanswered_by_number: Mapping[int, int] = _NOBODY,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -123,6 +127,7 @@
         self.load_by_service = load_by_service
         self.allowances = allowances
         self.evacuated = evacuated
+        self.unanswered_by_number = unanswered_by_number
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -194,12 +194,14 @@
     with `busy_elsewhere` what other balancers of the data centre see, and
     `shared_load` what that makes of it for a slot;
     `unanswered` counts opening packets in a row that nothing came of, for
-    which it gets no new flows before `avoided_until`.  `asked` counts the requests that this
+    which it gets no new flows before `avoided_until`, `silent_until` by own sight alone; one was
+    answered at `answered_at`.  `asked` counts the requests that this
     balancer saw of late, new flows too.  `pool` counts what is in progress at all upstreams of
     its service in its data centre.
     """
 
     __slots__ = (
+        'answered_at',
         'asked',
         'avoided_until',
         'busy_elsewhere',
@@ -212,6 +214,7 @@
         'pool',
         'removed_revision',
         'shared_load',
+        'silent_until',
         'unanswered',
         'warm_at',
     )
@@ -231,6 +234,8 @@
         self.shared_load: float = 0
         self.unanswered = 0
         self.avoided_until: float = 0
+        self.silent_until: float = 0
+        self.answered_at: float = 0
         self.asked: float = 0
 
     @property
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -76,13 +76,14 @@
 
 
 class PeerTable:
-    """Hold the peers by name."""
+    """Hold the peers by name; the neighbours were told last at `told_at`."""
 
     def __init__(self, me: PeerAddress, seeds: tuple[tuple[str, int], ...]) -> None:
         """Start with nobody but the addresses of the seeds."""
         self.me = me
         self.by_name: dict[str, Peer] = {}
         self._seeds = tuple(seed for seed in seeds if seed != me.address)
+        self.told_at: float = 0
         self._beat_at: float = 0
         self._seed_at: float = 0
         self._name_at: float = 0
@@ -161,6 +162,7 @@
         """Return the addresses of the own data centre that are to get a heartbeat now."""
         if now < self._beat_at:
             return []
+        self.told_at = now
         self._beat_at = now + self.interval_s
         return [peer.address.address for peer in self.neighbours()]
 
@@ -180,6 +182,14 @@
         """Send the next heartbeats at once: there is something new to tell."""
         self._beat_at = 0
 
+    def beat_soon(self) -> None:
+        """Send the next heartbeats as soon as a small data centre would.
+
+        What goes wrong with at once: hundreds of upstreams crash, and each finding is a round of
+        heartbeats to all neighbours.
+        """
+        self._beat_at = min(self._beat_at, self.told_at + HEARTBEAT_S)
+
     def some_others(self, data_centre: str, now: float) -> tuple[PeerAddress, ...]:
         """Return peers to name to those in `data_centre`, all of them in turn.
 
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -16,6 +16,7 @@
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
 from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
+from bronzekeel.core.routing.silence import take_silent
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.taking import take_entry, take_removal, take_text
 
@@ -43,6 +44,8 @@
 def beat(state: RoutingState, now: float) -> list[Effect]:
     """Send the heartbeats that are due."""
     effects: list[Effect] = []
+    if state.flows.silent_at > state.peers.told_at:
+        state.peers.beat_soon()
     near = state.peers.due_neighbours(now)
     if near:
         effects.append(SendHeartbeat(near_heartbeat(state, now), near))
@@ -79,6 +82,7 @@
     sender = heartbeat.sender
     joined = state.peers.note_heartbeat(heartbeat, now)
     effects.extend(_take_evacuated(state, heartbeat, now))
+    take_silent(state, heartbeat.unanswered_by_number, now)
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_revision and not heartbeat.text_revision):
--- a/src/bronzekeel/entry/packets.py
+++ b/src/bronzekeel/entry/packets.py
@@ -113,6 +113,7 @@
         if self._state.epoch != self._epoch or len(self._path_by_key) > _MOST_PATHS:
             self._epoch = self._state.epoch
             self._path_by_key.clear()
+        self._state.flows.expire_openings(now)
         self._read_batch(now)
         self.resume()
 
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -90,6 +90,7 @@
             'from': _peer_out(heartbeat.sender),
             'text': heartbeat.text_revision,
             'upstreams': heartbeat.upstreams_revision,
+            'unanswered': list(heartbeat.unanswered_by_number.items()),
             'busy': list(heartbeat.busy_by_number.items()),
             'others': [_peer_out(other) for other in heartbeat.others],
             'shares': None if heartbeat.shares is None else _shares_out(heartbeat.shares),
@@ -122,6 +123,9 @@
             load_by_service={str(service): _figure_in(load) for service, load in fields['loads']},
             allowances=None if fields['room'] is None else _room_in(fields['room']),
             evacuated=_evacuated_in(*fields['evacuated']),
+            unanswered_by_number={
+                int(number): int(unanswered) for number, unanswered in fields['unanswered']
+            },
             **flags,
         )
     except _FORMAT_FAULTS as fault:
--- a/src/bronzekeel/platform/machine.py
+++ b/src/bronzekeel/platform/machine.py
@@ -6,6 +6,9 @@
 #: The one region in which stand-ins of hosts are.
 _REGION = 'here'
 
+#: Rate of their links, wide enough for loopback.
+_LINK_MBPS = 1000
+
 _Address = tuple[str, int]
 
 
@@ -48,6 +51,7 @@
         },
         'seeds': [_spelled(seed) for seed in seeds],
         'platform': {'address': _spelled(store)},
+        'limits': {'linkMbps': _LINK_MBPS},
         'bounds': {'graceS': stop_within_s},
     }
 
--- a/src/bronzekeel/standins/template.py
+++ b/src/bronzekeel/standins/template.py
@@ -40,5 +40,7 @@
         return fields[_THIS]
     found: Any = fields
     for part in name.split('.'):
+        if found is None:
+            break
         found = found.get(part)
     return found
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -518,6 +518,11 @@
             ('weighs', 'speed'),
             ('weighs', None),
             ('readiness_path', None),
+            ('region_by_data_centre', ['north']),
+            ('cold_overage', 0.5),
+            ('cold_slack', '5'),
+            ('link_mbps', -1),
+            ('link_mbps', True),
         )
         for name, found in wrong:
             with self.subTest(name=name, found=found), self.assertRaises(SettingsError) as caught:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -68,3 +68,15 @@
         self.assertEqual(['1.1.1.1:1', '2.2.2.2:2'], settings['seeds'])
         self.assertEqual('9.9.9.9:80', settings['store'])
         self.assertEqual(6, settings['stop_within_s'])
+        self.assertEqual(1000, settings['link_mbps'])
+        self.assertNotIn('cold_overage', settings)
+
+    def test_a_value_that_is_not_there_leaves_its_section_out(self) -> None:
+        """A platform without bounds on cold upstreams and links is one that states none."""
+        place = HostPlace('dc-a-1', 'dc-a', ('1.2.3.4', 5), ('1.2.3.4', 6), ('1.2.3.4', 7))
+        fields = host_fields(place, ('9.9.9.9', 80), [], 6)
+        fields.pop('limits')
+        fields['bounds'].update({'warmupOverage': 1.5, 'warmupSlack': 5})
+        settings = decode_json(filled(_SETTINGS.read_text(encoding='utf-8'), fields))
+        self.assertNotIn('link_mbps', settings)
+        self.assertEqual((1.5, 5), (settings['cold_overage'], settings['cold_slack']))
