Let the soak evacuate data centres

Change: one more fault, and a promise that is checked only where it could break: a host in touch opens a flow anywhere two seconds after the store's word.

--- a/src/bronzekeel/soak/checks.py
+++ b/src/bronzekeel/soak/checks.py
@@ -16,6 +16,7 @@
     TEXT_IN_FORCE = 'an accepted text is in force within its bound'
     TEXT_KEPT = 'a text in force is never taken back'
     DRAINED = 'an upstream that leaves gets no new flow after its bound'
+    EVACUATED = 'an evacuated data centre gets no new flow after its bound'
     SERVED_AFTER = 'after the last fault callers are served'
     PROCESS_LIVES = 'no balancer ends by itself or logs an internal fault'
 
--- a/src/bronzekeel/soak/faults.py
+++ b/src/bronzekeel/soak/faults.py
@@ -20,6 +20,7 @@
 )
 from bronzekeel.soak.load_faults import (
     Burst,
+    CentreEvacuated,
     TextChanged,
     TextGrown,
     TextStorm,
@@ -67,5 +68,6 @@
     TextChanged,
     TextStorm,
     TextGrown,
+    CentreEvacuated,
     Burst,
 )
--- a/src/bronzekeel/soak/load_faults.py
+++ b/src/bronzekeel/soak/load_faults.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 
 from bronzekeel.soak.fault import Fault
+from bronzekeel.soak.site import CENTRES
 
 
 _STORM = 5
@@ -49,6 +50,25 @@
         self.site.allow_routes()
 
 
+class CentreEvacuated(Fault):
+    """Operators evacuate a data centre, one at a time."""
+
+    kind = 'evacuation'
+    planned = True
+
+    async def begin(self) -> None:
+        """Evacuate one, if none is."""
+        self._centre = ''
+        if not self.site.evacuated_at_by_centre:
+            self._centre = self.site.random.choice(CENTRES)
+            await self.site.evacuate(self._centre)
+
+    async def end(self) -> None:
+        """Take it back."""
+        if self._centre:
+            await self.site.take_back(self._centre)
+
+
 class Burst(Fault):
     """Callers ask for four times as much."""
 
--- a/src/bronzekeel/soak/site.py
+++ b/src/bronzekeel/soak/site.py
@@ -7,7 +7,7 @@
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from time import monotonic
 
-from bronzekeel.platform.calls import UPSTREAMS_KIND
+from bronzekeel.platform.calls import EVACUATIONS_KIND, UPSTREAMS_KIND
 from bronzekeel.platform.answers import upstream_name
 from bronzekeel.soak.callers import Callers
 from bronzekeel.soak.checks import Checks
@@ -33,6 +33,10 @@
 _ENDLESS = float('inf')
 _NUMBER_BITS = 60
 
+#: Seconds after the store's word of an evacuation until which new flows may reach it.  Source: all
+#: hosts know within a second; as much again for a machine that is busy.
+EVACUATED_S = 2.0
+
 #: Seconds after a burst in which flows may still be refused.
 _WORKED_OFF_S = 4.0
 
@@ -58,6 +62,7 @@
             self.random,
         )
         self.texts = Texts(self.store)
+        self.evacuated_at_by_centre: dict[str, float] = {}
         self.burst: float = 1
         self.overloaded_until: float = 0
         self._ports = Ports(*_free_ports())
@@ -130,6 +135,7 @@
         await upstream.open(address)
         self.upstreams[number] = upstream
         upstream.routes = self.texts.routes_of(service)
+        upstream.closed_to = self.closed_to
         await self.list_upstream(upstream)
         return upstream
 
@@ -150,6 +156,29 @@
         self.store.remove_object(UPSTREAMS_KIND, upstream_name(upstream.number))
         await self.store.tell()
 
+    async def evacuate(self, centre: str) -> None:
+        """Ask balancers to send nothing new to a data centre."""
+        self.store.put_object(EVACUATIONS_KIND, centre, {})
+        await self.store.tell()
+        self.evacuated_at_by_centre[centre] = monotonic()
+
+    async def take_back(self, centre: str) -> None:
+        """End an evacuation."""
+        self.evacuated_at_by_centre.pop(centre)
+        self.store.remove_object(EVACUATIONS_KIND, centre)
+        await self.store.tell()
+
+    def closed_to(self, host_ip: str) -> set[str]:
+        """Return the data centres to which a host that is in touch must send nothing new."""
+        contacts = [host.contact for host in self.hosts if host.packets[0] == host_ip]
+        if not all(contact.in_touch for contact in (self.store_contact, *contacts)):
+            return set()
+        return {
+            centre
+            for centre, evacuated_at in self.evacuated_at_by_centre.items()
+            if monotonic() > evacuated_at + EVACUATED_S
+        }
+
     def allow_routes(self) -> None:
         """Let upstreams know which routes any text sent to their service."""
         for upstream in self.upstreams.values():
--- a/src/bronzekeel/soak/upstreams.py
+++ b/src/bronzekeel/soak/upstreams.py
@@ -2,6 +2,7 @@
 
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
 from collections import Counter, deque
+from collections.abc import Callable
 from random import Random
 from time import monotonic
 from typing import Any
@@ -33,6 +34,10 @@
 _SLACK_S = 1.0
 
 
+def _nothing_closed(host_ip: str) -> set[str]:
+    return set()
+
+
 class Runs:
     """Count what ran anywhere, by request and by attempt."""
 
@@ -58,7 +63,8 @@
     """Own one upstream at an address.
 
     `alive` is off after a crash, `grey` when it answers no request, `slow` times its work.
-    `drained_at` is when the store was told that it leaves.
+    `drained_at` is when the store was told that it leaves; `closed_to` tells to which data
+    centres a host must send nothing new.
     """
 
     def __init__(
@@ -77,6 +83,7 @@
         self.contact = Contact()
         self.link_by_host: dict[str, Link] = {}
         self.routes: set[Address] = set()
+        self.closed_to: Callable[[str], set[str]] = _nothing_closed
         self.alive = True
         self.grey = False
         self.slow: float = 1
@@ -128,7 +135,7 @@
         unchanged = segment.checksum == segment.reckoned_checksum
         self._checks.check(Promise.UNCHANGED, unchanged, told)
         if segment.flags & SYN:
-            self._open(segment, told)
+            self._open(segment, told, str(addr[0]))
             return
         end = self._end_by_flow.get((segment.source, segment.target))
         if end is None:
@@ -138,12 +145,16 @@
         elif segment.flags & FIN:
             self._end_by_flow.pop((segment.source, segment.target))
 
-    def _open(self, segment: EchoSegment, told: str) -> None:
+    def _open(self, segment: EchoSegment, told: str, host_ip: str) -> None:
         allowed = segment.target in self.routes
         self._checks.check(Promise.SERVICE, allowed, f'{told} for {segment.target}')
         if self.drained_at is not None:
             late = monotonic() > self.drained_at + _DRAIN_S + _SLACK_S
             self._checks.check(Promise.DRAINED, not late or not self.contact.in_touch, told)
+        closed = self.closed_to(host_ip)
+        if closed:
+            kept_away = self.data_centre not in closed
+            self._checks.check(Promise.EVACUATED, kept_away, f'{told} through {host_ip}')
         flow = (segment.source, segment.target)
         end = self._end_by_flow.setdefault(
             flow,
