Take nothing but the same bytes for a repeat before a link, and drop what waited through a pause

An acknowledgement that waited made the next one of its flow look like its repeat (same place in the byte stream, same length), and the newest was lost: the upstream sends again after 0.2 s. And datagrams that waited for the link through a long pause were sent after it, while those in the kernel were dropped. Change: a repeat is the same to the last byte; a pause drops what waits for the link too. Tests: test_link_queue, two more.

--- a/src/bronzekeel/core/routing/link_queue.py
+++ b/src/bronzekeel/core/routing/link_queue.py
@@ -43,14 +43,13 @@
 
 
 class Outgoing:
-    """Hold a datagram that waits, and the place of its packet in the flow's byte stream."""
+    """Hold a datagram of a flow that waits."""
 
-    __slots__ = ('address', 'flow', 'raw', 'sequence')
+    __slots__ = ('address', 'flow', 'raw')
 
-    def __init__(self, flow: bytes, sequence: int, raw: bytes, address: Address) -> None:
+    def __init__(self, flow: bytes, raw: bytes, address: Address) -> None:
         """Keep the datagram for `address`."""
         self.flow = flow
-        self.sequence = sequence
         self.raw = raw
         self.address = address
 
@@ -86,14 +85,18 @@
         return self._count
 
     def add(self, outgoing: Outgoing) -> bool:
-        """Take a datagram behind those of its flow; a repeat of one that waits is left out."""
+        """Take a datagram behind those of its flow; a repeat of one that waits is left out.
+
+        A repeat is the same to the last byte.  What goes wrong with less: acknowledgements have
+        the same place in the byte stream and the same length, and the newest of them is lost.
+        """
         waiting = self._waiting_by_flow.get(outgoing.flow)
         if waiting is None:
             self._waiting_by_flow[outgoing.flow] = deque((outgoing,))
             self._new.append(outgoing.flow)
             self._count += 1
             return True
-        if any(_repeats(outgoing, other) for other in waiting):
+        if any(outgoing.raw == other.raw for other in waiting):
             return False
         waiting.append(outgoing)
         self._count += 1
@@ -161,6 +164,14 @@
             self._occupy(len(outgoing.raw), now)
         return outgoing
 
+    def drop(self) -> int:
+        """Let nothing wait any more; return how many datagrams there were."""
+        dropped = 0
+        while self._order.take() is not None:
+            dropped += 1
+        self._bytes = 0
+        return dropped
+
     def _occupy(self, size: int, now: float) -> None:
         begins_at = max(self._free_at, now - LATE_S)
         self._free_at = begins_at + (size + HEAD_BYTES) / self._bytes_per_s
@@ -169,7 +180,3 @@
 def queue_before(link_mbps: float) -> LinkQueue | None:
     """Return the queue before a link of a rate in Mbit/s, None if the rate is not known."""
     return LinkQueue(link_mbps, InTurn()) if link_mbps else None
-
-
-def _repeats(outgoing: Outgoing, other: Outgoing) -> bool:
-    return outgoing.sequence == other.sequence and len(outgoing.raw) == len(other.raw)
--- a/src/bronzekeel/core/routing/silence.py
+++ b/src/bronzekeel/core/routing/silence.py
@@ -50,8 +50,8 @@
 def take_silent(state: RoutingState, unanswered_by_number: Mapping[int, int], now: float) -> None:
     """Give no new flows to the upstreams that a neighbour found silent, for a while.
 
-    Its findings count as own ones, so each further one in the data centre doubles the wait; word
-    that is heard again changes nothing.
+    Its findings count as own ones, so each further one in the data centre makes the wait longer;
+    word that is heard again changes nothing.
     """
     for number, unanswered in unanswered_by_number.items():
         upstream = state.directory.by_number.get(number)
--- a/src/bronzekeel/entry/packets.py
+++ b/src/bronzekeel/entry/packets.py
@@ -137,7 +137,9 @@
             self._take(raw, now)
 
     def drop_waiting(self) -> None:
-        """Drop and count the packets that wait in the kernel and here."""
+        """Drop and count the packets that wait in the kernel, here, and for the link."""
+        if self._link is not None:
+            self._count(_STALE, self._link.drop())
         self._count(_STALE, self._held.drop())
         while self._reads_one():
             self._count(_STALE)
@@ -175,7 +177,7 @@
             return False
         self._step(path.flow, now, sequence, acknowledged, payload_bytes > 0)
         self._kept += 1
-        self._leave(key, sequence, path.prefix + raw, path.address, now)
+        self._leave(key, path.prefix + raw, path.address, now)
         return True
 
     def _take(self, raw: bytes, now: float) -> None:
@@ -194,9 +196,7 @@
             self._count(_DELIVERED)
             self._remember_path(packet.raw, verdict)
             raw, address = self._format.delivery(packet, verdict.upstream, verdict.connection_id)
-            self._leave(
-                self._positions(packet.raw)[1], packet.sequence, raw, address, self._clock()
-            )
+            self._leave(self._positions(packet.raw)[1], raw, address, self._clock())
             return
         if isinstance(verdict, Wait):
             self._count(_WAITED)
@@ -213,21 +213,14 @@
         prefix = self._format.prefix(upstream)
         self._path_by_key[key] = _KnownPath(prefix, upstream, verdict.flow)
 
-    def _leave(
-        self,
-        key: bytes,
-        sequence: int,
-        raw: bytes,
-        address: tuple[str, int],
-        now: float,
-    ) -> None:
+    def _leave(self, key: bytes, raw: bytes, address: tuple[str, int], now: float) -> None:
         """Send a datagram now, or when the link has room for it."""
         link = self._link
         if link is None or link.passes(len(raw), now):
             self._send(raw, address)
             return
         waited = len(link)
-        link.add(Outgoing(key, sequence, raw, address))
+        link.add(Outgoing(key, raw, address))
         if not waited:
             self._loop.call_at(link.next_at, self._send_due)
 
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -114,7 +114,7 @@
             if queue.passes(size, now):
                 left.append((now, flow, sequence, size))
             else:
-                queue.add(Outgoing(bytes((flow,)), sequence, bytes(size), _TO))
+                queue.add(Outgoing(bytes((flow,)), _numbered(sequence, size), _TO))
         _drain(queue, now + 10, left)
         self.assertEqual(len(packets), len(left) + queue.lost)
         for flow in range(4):
@@ -130,15 +130,42 @@
         """
         order = InTurn()
         for sequence in (1, 2, 1, 2):
-            order.add(Outgoing(b'f', sequence, b'same size', _TO))
+            order.add(Outgoing(b'f', _numbered(sequence, _BULK_BYTES), _TO))
         self.assertEqual(2, len(order))
 
+    def test_each_acknowledgement_leaves(self) -> None:
+        """Symptom: answers of many packets stall for 0.2 s behind a narrow link.
+
+        Sequence: a caller acknowledges twice while others upload; both acknowledgements wait.
+        Cause: the second, of the same length and at the same place, is taken for a repeat.
+        """
+        order = InTurn()
+        acknowledgements = [bytes((200, 0, 7)), bytes((200, 0, 9))]
+        for raw in acknowledgements:
+            order.add(Outgoing(b'f', raw, _TO))
+        left = [order.take(), order.take()]
+        self.assertEqual(acknowledgements, [out.raw for out in left if out is not None])
+
+    def test_what_waited_through_a_pause_is_dropped(self) -> None:
+        """Symptom: upstreams hold flows that nobody uses.
+
+        Sequence: opening packets wait for the link; the host is frozen for seconds and wakes.
+        Cause: the packets in the kernel are dropped then, and those before the link are not.
+        """
+        queue = LinkQueue(_MBPS, InTurn())
+        queue.passes(_BULK_BYTES, 0)
+        for sequence in range(5):
+            queue.add(Outgoing(b'f', _numbered(sequence, _BULK_BYTES), _TO))
+        self.assertEqual(5, queue.drop())
+        self.assertIsNone(queue.take_due(9))
+        self.assertTrue(queue.passes(_BULK_BYTES, 9))
+
     def test_what_waits_is_bounded(self) -> None:
         """A flood is lost as it would be on the link, and counted."""
         queue = LinkQueue(_MBPS, InTurn())
         queue.passes(_BULK_BYTES, 0)
         for sequence in range(1000):
-            queue.add(Outgoing(b'f', sequence, bytes(_BULK_BYTES), _TO))
+            queue.add(Outgoing(b'f', _numbered(sequence, _BULK_BYTES), _TO))
         self.assertLessEqual(len(queue) * _BULK_BYTES, _BYTES_PER_S * MOST_WAIT_S)
         self.assertEqual(1000, len(queue) + queue.lost)
 
@@ -157,6 +184,15 @@
                 self.assertLessEqual(taken, within + 1e-9)
 
 
+def _numbered(sequence: int, size: int) -> bytes:
+    """Return a datagram of a size that differs from others by its number."""
+    return sequence.to_bytes(4, 'big').ljust(size, b'.')
+
+
+def _number_of(outgoing: Outgoing) -> int:
+    return int.from_bytes(outgoing.raw[:4], 'big')
+
+
 def _drain(queue: LinkQueue, now: float, left: list[tuple[float, int, int, int]]) -> None:
     """Let go of what may leave until `now`, at the moments at which it may."""
     while queue and queue.next_at <= now:
@@ -164,7 +200,7 @@
         outgoing = queue.take_due(at)
         if outgoing is None:
             return
-        left.append((at, outgoing.flow[0], outgoing.sequence, len(outgoing.raw)))
+        left.append((at, outgoing.flow[0], _number_of(outgoing), len(outgoing.raw)))
 
 
 def _played(order: SendingOrder | None) -> tuple[int, float]:
@@ -182,7 +218,7 @@
         for outgoing in (*_arriving_late(queue, step), *_leaving(queue, now)):
             link.send(len(outgoing.raw), now)
             if len(outgoing.raw) == _REQUEST_BYTES:
-                longest_s = max(longest_s, now - outgoing.sequence / _STEPS)
+                longest_s = max(longest_s, now - _number_of(outgoing) / _STEPS)
     return link.lost, longest_s
 
 
@@ -209,9 +245,9 @@
         for upload in (b'u1', b'u2', b'u3'):
             flow = b'%s%d' % (upload, step)
             arrived.extend(
-                Outgoing(flow, packet, bytes(_BULK_BYTES), _TO) for packet in range(_BURST)
+                Outgoing(flow, _numbered(packet, _BULK_BYTES), _TO) for packet in range(_BURST)
             )
     if step % 10 == 5:
         flow = b'r%d' % step
-        arrived.append(Outgoing(flow, step, bytes(_REQUEST_BYTES), _TO))
+        arrived.append(Outgoing(flow, _numbered(step, _REQUEST_BYTES), _TO))
     return arrived
