--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -26,6 +26,7 @@
 from bronzekeel.entry.lines import LINES_PER_KIND, MOST_WAITING_BYTES, LineLog
 from bronzekeel.entry.loop import Loop
 from bronzekeel.entry.settings import EntrySettings, SettingsError, read_entry_settings
+from bronzekeel.platform.calls import EVACUATIONS_KIND
 from bronzekeel.platform.objects import PlatformStore
 from bronzekeel.platform.packets import PlatformPackets
 from bronzekeel.standins.entry_settings import loopback_settings
@@ -229,6 +230,14 @@
         """
         self._with(self._refuse_for_want_of_room)
 
+    def test_an_evacuation_is_followed_and_taken_back(self) -> None:
+        """Symptom: an evacuated data centre gets new flows.
+
+        Sequence: operators write an entry for the only data centre, and remove it.
+        Cause: the entry is not read, or not by the process that runs.
+        """
+        self._with(self._evacuate)
+
     def test_metrics_are_served_beside_the_peers_questions(self) -> None:
         """Counters, gauges and the histogram of answers, in the usual text format."""
         self._with(self._read_metrics)
@@ -344,6 +353,24 @@
         self.assertIn('bronzekeel_packets_total{kind="overloaded"} 1', metrics)
         self.assertIn('bronzekeel_requests_waiting{kind="portal"} 0', metrics)
 
+    async def _evacuate(self, around: Around) -> None:
+        around.put_text()
+        around.put_upstream()
+        balancer = around.start_balancer(link_mbps=100)
+        await until(lambda: balancer.state.is_current(monotonic()))
+        around.store.put_object(EVACUATIONS_KIND, 'dc-a', {})
+        await around.store.tell()
+        await around.wait_for_events({LogNumber.EVACUATED})
+        await around.send(opening_from(around.caller), balancer)
+        refused = await around.taken(around.caller)
+        self.assertEqual(_RESET, refused[22])
+        around.store.remove_object(EVACUATIONS_KIND, 'dc-a')
+        await around.store.tell()
+        await around.wait_for_events({LogNumber.TAKEN_BACK})
+        await around.send(opening_from(around.caller), balancer)
+        delivered = await around.taken(around.upstream)
+        self.assertEqual(42, int.from_bytes(delivered[:8], 'big'))
+
     async def _read_metrics(self, around: Around) -> None:
         around.put_upstream()
         around.put_text()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,6 +13,7 @@
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
+    Evacuation,
     Event,
     HistoryLost,
     PageRead,
@@ -210,6 +211,40 @@
         second = found.route_by_key[bytes.fromhex('c612000220fb')]
         self.assertEqual([9, 1], [share.weight for share in second.shares])
 
+    def test_rates_of_cold_upstreams_and_homes_are_read(self) -> None:
+        """A rate of zero is none; a route without homes may lead anywhere."""
+        homes = {**_ROUTE, 'host': '198.18.0.2', 'allowedRegions': ['north', 'south']}
+        services = [
+            {'name': 'huvo', 'warmupS': 2.0, 'warmupPerS': 7.5},
+            {'name': 'wuno', 'warmupS': 2.0, 'warmupPerS': 0},
+        ]
+        spec = {'version': 7, 'routes': [dict(_ROUTE), homes], 'services': services}
+        event = read_page('text', stored('main', spec))
+        found = event.objects[0].content if isinstance(event, PageRead) else None
+        if not isinstance(found, RoutingText):
+            self.fail(found)
+        self.assertEqual({'huvo': 7.5}, found.cold_rate_by_service)
+        by_key = found.route_by_key
+        self.assertEqual({'north', 'south'}, by_key[bytes.fromhex('c612000220fb')].homes)
+        self.assertFalse(by_key[bytes.fromhex('c612000120fb')].homes)
+
+    def test_an_evacuation_is_named_by_its_object(self) -> None:
+        """Whatever else it holds; one that is taken back has no content."""
+        for spec in ({}, None, [], 'by whom'):
+            event = read_page('evacuations', stored('rs-hal-a', spec))
+            if not isinstance(event, PageRead):
+                self.fail(event)
+            self.assertEqual('rs-hal-a', event.objects[0].name)
+            self.assertIsInstance(event.objects[0].content, Evacuation)
+        body = {
+            'events': [{'object': stored('rs-hal-a', {}, 10), 'tombstone': True}],
+            'storeRevision': 10,
+        }
+        changes = _STORE.read_changes('evacuations', 200, encode_json(body).encode())
+        if not isinstance(changes, ChangesRead):
+            self.fail(changes)
+        self.assertIsNone(changes.objects[0].content)
+
     def test_malformed_objects_are_marked_one_by_one(self) -> None:
         """A bad object does not hide the good one beside it."""
         bad = stored('i-1', {**_SERVER, 'address': 'nowhere'})
@@ -245,7 +280,7 @@
     @given(_ANYTHING)
     def test_any_spec_is_read_or_marked(self, spec: Any) -> None:
         """Whatever lies in the store, reading it raises nothing."""
-        for collection, name in (('text', 'main'), ('upstreams', 'i-3')):
+        for collection, name in (('text', 'main'), ('upstreams', 'i-3'), ('evacuations', 'x')):
             self.assertIsInstance(read_page(collection, stored(name, spec)), PageRead)
 
     @_DERANDOMIZED
