Say which incarnation of the store answers, and which texts are left out

Cause: in the incident no line told whether an answer was of the same run of the store's revisions, and a text whose revision was that of the text in force was left out without a line: 'told and left out' looked like 'not told'. Change: the adapter reads the store's incarnation from the header of each answer; 2106 tells when it changes, 2002 tells every text that is left out with both generations; a gauge and two counters. The stand-in says its incarnation in all answers.

--- a/src/bronzekeel/core/routing/events.py
+++ b/src/bronzekeel/core/routing/events.py
@@ -85,9 +85,12 @@
 
 
 class PageRead(Event):
-    """Tell that a page of a collection was read at the store's `revision`."""
+    """Tell that a page of a collection was read at the store's `revision`.
 
-    __slots__ = ('collection', 'more', 'objects', 'revision')
+    `incarnation` tells which run of the store's revisions that is.
+    """
+
+    __slots__ = ('collection', 'incarnation', 'more', 'objects', 'revision')
 
     def __init__(
         self,
@@ -96,8 +99,10 @@
         revision: int,
         *,
         more: bool,
+        incarnation: int = 0,
     ) -> None:
         """Keep the page; `more` tells that others follow."""
+        self.incarnation = incarnation
         self.collection = collection
         self.objects = objects
         self.revision = revision
@@ -105,12 +110,23 @@
 
 
 class ChangesRead(Event):
-    """Tell what changed up to the store's `revision`."""
+    """Tell what changed up to the store's `revision`.
+
+    `incarnation` tells which run of the store's revisions that is.
+    """
 
-    __slots__ = ('collection', 'objects', 'revision')
+    __slots__ = ('collection', 'incarnation', 'objects', 'revision')
 
-    def __init__(self, collection: str, objects: list[StoredObject], revision: int) -> None:
+    def __init__(
+        self,
+        collection: str,
+        objects: list[StoredObject],
+        revision: int,
+        *,
+        incarnation: int = 0,
+    ) -> None:
         """Keep the changes in their order."""
+        self.incarnation = incarnation
         self.collection = collection
         self.objects = objects
         self.revision = revision
@@ -119,11 +135,12 @@
 class HistoryLost(Event):
     """Tell that the store no longer has the changes since our revision."""
 
-    __slots__ = ('collection',)
+    __slots__ = ('collection', 'incarnation')
 
-    def __init__(self, collection: str) -> None:
-        """Keep which collection it is."""
+    def __init__(self, collection: str, incarnation: int = 0) -> None:
+        """Keep which collection it is, and which incarnation of the store says so."""
         self.collection = collection
+        self.incarnation = incarnation
 
 
 class CallFailed(Event):
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -89,6 +89,7 @@
     follower = state.follower_by_collection[Collection(event.collection)]
     follower.answered_at = now
     effects = _note_regained(state, follower, now)
+    effects.extend(_note_incarnation(state, follower, event.incarnation))
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
     names = [listed.name for listed in event.objects if listed.name]
@@ -112,6 +113,7 @@
 def _on_changes(state: RoutingState, event: ChangesRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
     effects = _note_regained(state, follower, now)
+    effects.extend(_note_incarnation(state, follower, event.incarnation))
     known = _news(state)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
@@ -145,12 +147,14 @@
 
 def _on_history_lost(state: RoutingState, event: HistoryLost, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
+    state.store_record.histories_lost += 1
+    effects = _note_incarnation(state, follower, event.incarnation)
     line = WriteLine(
         LogNumber.HISTORY_LOST,
         collection=event.collection,
         revision=follower.revision,
     )
-    return [line, follower.begin_listing()]
+    return [*effects, line, follower.begin_listing()]
 
 
 def _on_failure(state: RoutingState, event: CallFailed, now: float) -> list[Effect]:
@@ -189,6 +193,27 @@
     ]
 
 
+def _note_incarnation(
+    state: RoutingState,
+    follower: Follower,
+    incarnation: int,
+) -> list[Effect]:
+    """Tell when another incarnation of the store answers than before."""
+    former = state.store_record.incarnation
+    state.store_record.incarnation = incarnation
+    if former is None or former == incarnation:
+        return []
+    return [
+        WriteLine(
+            LogNumber.STORE_RESTORED,
+            collection=follower.collection.value,
+            incarnation=incarnation,
+            former_incarnation=former,
+            revision=follower.revision,
+        ),
+    ]
+
+
 def _take(
     state: RoutingState,
     follower: Follower,
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -17,6 +17,7 @@
 from bronzekeel.core.routing.relays import Relays
 from bronzekeel.core.routing.shared_load import SharedLoads
 from bronzekeel.core.routing.stopping import Stopping
+from bronzekeel.core.routing.store_record import StoreRecord
 from bronzekeel.core.routing.waiting import NewestFirst, WaitingOrder, WaitingRequests
 from bronzekeel.core.routing.watch_duty import (
     has_current_watcher,
@@ -33,8 +34,8 @@
     data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
     which entries the store no longer has.  It was started at `started_at`.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
-    tell it what their callers ask for.  `unreadable_objects` counts what the store told and
-    could not be read."""
+    tell it what their callers ask for.  `store_record` counts what the
+    store told in vain."""
 
     __slots__ = (
         'admission',
@@ -57,9 +58,9 @@
         'shared_loads',
         'started_at',
         'stopping',
+        'store_record',
         'text',
         'told_elsewhere_at',
-        'unreadable_objects',
         'waiting',
     )
 
@@ -111,7 +112,7 @@
         self.fetch_until: float = 0
         self.behind_since: float | None = None
         self.told_elsewhere_at: float | None = None
-        self.unreadable_objects = 0
+        self.store_record = StoreRecord()
         self.started_at: float = 0
 
     @property
--- /dev/null
+++ b/src/bronzekeel/core/routing/store_record.py
@@ -0,0 +1,23 @@
+"""Keep what operators ask about the store's answers, for log and metrics.
+
+Nothing is decided by it.
+"""
+
+
+class StoreRecord:
+    """Hold which incarnation of the store answered last, and count what it told in vain.
+
+    An `incarnation` is one run of the store's revisions: the store comes back from a copy, and
+    counts on from there.  It is None before the first answer.  `histories_lost` counts watches
+    that could not go on, `texts_refused` texts that were not put in force, and
+    `unreadable_objects` what could not be read.
+    """
+
+    __slots__ = ('histories_lost', 'incarnation', 'texts_refused', 'unreadable_objects')
+
+    def __init__(self) -> None:
+        """Start before the first answer."""
+        self.incarnation: int | None = None
+        self.histories_lost = 0
+        self.texts_refused = 0
+        self.unreadable_objects = 0
--- a/src/bronzekeel/core/routing/taking.py
+++ b/src/bronzekeel/core/routing/taking.py
@@ -15,16 +15,9 @@
     """Put a text in force unless a newer one is."""
     known = state.text
     if known is not None and text.revision == known.revision:
-        return []
+        return [] if text.generation == known.generation else _refused(state, text, known)
     if known is not None and state.directory.ordered and text.revision < known.revision:
-        return [
-            WriteLine(
-                LogNumber.TEXT_OLDER,
-                generation=text.generation,
-                revision=text.revision,
-                in_force=known.revision,
-            ),
-        ]
+        return _refused(state, text, known)
     state.text = text
     return [
         WriteLine(
@@ -36,6 +29,20 @@
     ]
 
 
+def _refused(state: RoutingState, text: RoutingText, known: RoutingText) -> list[Effect]:
+    """Tell of a text that is not put in force, since `known` counts as newer."""
+    state.store_record.texts_refused += 1
+    return [
+        WriteLine(
+            LogNumber.TEXT_OLDER,
+            generation=text.generation,
+            revision=text.revision,
+            in_force_generation=known.generation,
+            in_force=known.revision,
+        ),
+    ]
+
+
 def take_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
     """Take what an upstream says of itself."""
     former = state.directory.by_name.get(entry.name)
@@ -68,7 +75,7 @@
 
 def take_unreadable(state: RoutingState, name: str, revision: int, problem: str) -> list[Effect]:
     """Leave out what cannot be read; an upstream whose entry it was gets no new flows."""
-    state.unreadable_objects += 1
+    state.store_record.unreadable_objects += 1
     withheld = state.directory.withhold(name, revision)
     return [
         WriteLine(
--- a/src/bronzekeel/entry/daemon.py
+++ b/src/bronzekeel/entry/daemon.py
@@ -201,14 +201,16 @@
         collection: str,
         target: str,
         until: float,
-        read: Callable[[str, int, bytes], Event],
+        read: Callable[[str, int, bytes, Mapping[str, str]], Event],
     ) -> None:
         """Make a call whose answer is taken as the event that `read` makes of it."""
         self._connection_by_collection[collection].ask(
             Call(
                 target,
                 until,
-                lambda status, body: self.take(read(collection, status, body)),
+                lambda reply: self.take(
+                    read(collection, reply.status, reply.body, reply.header_by_name),
+                ),
                 lambda problem: self.take(CallFailed(collection, problem)),
             ),
         )
--- a/src/bronzekeel/entry/http_client.py
+++ b/src/bronzekeel/entry/http_client.py
@@ -1,6 +1,6 @@
 """Call the store, or a peer, over one kept connection, one call at a time."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from errno import EINPROGRESS
 from selectors import EVENT_READ, EVENT_WRITE
 from socket import (
@@ -37,7 +37,20 @@
 
 _CHUNK_BYTES = 65536
 
-_ANSWERED = Callable[[int, bytes], None]
+
+class Reply:
+    """Hold the answer to a call; names of headers are in lower case."""
+
+    __slots__ = ('body', 'header_by_name', 'status')
+
+    def __init__(self, status: int, body: bytes, header_by_name: Mapping[str, str]) -> None:
+        """Keep the parts of the answer."""
+        self.status = status
+        self.body = body
+        self.header_by_name = header_by_name
+
+
+_ANSWERED = Callable[[Reply], None]
 _FAILED = Callable[[str], None]
 
 
@@ -81,6 +94,7 @@
         self._deadline: Deadline | None = None
         self._unsent = b''
         self._body: list[bytes] = []
+        self._header_by_name: dict[str, str] = {}
         self._connected = False
         self._complete = False
 
@@ -91,6 +105,7 @@
         self.calls += 1
         self._call = call
         self._body = []
+        self._header_by_name = {}
         self._complete = False
         self._unsent = self._encoded(call)
         self._deadline = self._loop.call_at(call.until, self._time_out)
@@ -109,6 +124,10 @@
         self._socket = None
         self._call = None
 
+    def on_header(self, name: bytes, header: bytes) -> None:
+        """Take a header of the answer (called by the parser)."""
+        self._header_by_name[name.decode('latin-1').lower()] = header.decode('latin-1')
+
     def on_body(self, body: bytes) -> None:
         """Take a part of the answer (called by the parser)."""
         self._body.append(body)
@@ -178,15 +197,18 @@
         if call is None:
             self.close()
             return
-        status = self._parser.get_status_code()
         keep = self._parser.should_keep_alive()
-        body = b''.join(self._body)
+        reply = Reply(
+            self._parser.get_status_code(),
+            b''.join(self._body),
+            self._header_by_name,
+        )
         self._call = None
         if self._deadline is not None:
             self._deadline.cancel()
         if not keep:
             self.close()
-        call.answered(status, body)
+        call.answered(reply)
 
     def _time_out(self) -> None:
         if self._call is not None and monotonic() >= self._call.until:
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -66,13 +66,26 @@
 ) -> bytes:
     """Return a balancer's metrics."""
     page = MetricsPage()
+    record = state.store_record
     page.add('bronzekeel_packets_total', 'counter', 'Packets by fate.', {**count_by_fate})
     page.add('bronzekeel_store_calls_total', 'counter', 'Calls to the store.', {'': store_calls})
     page.add(
         'bronzekeel_objects_unreadable_total',
         'counter',
         'Objects of the store that could not be read.',
-        {'': state.unreadable_objects},
+        {'': record.unreadable_objects},
+    )
+    page.add(
+        'bronzekeel_store_histories_lost_total',
+        'counter',
+        'Watches that the store could not go on with.',
+        {'': record.histories_lost},
+    )
+    page.add(
+        'bronzekeel_texts_refused_total',
+        'counter',
+        'Texts that were told and not put in force, since a newer one is.',
+        {'': record.texts_refused},
     )
     page.add(
         'bronzekeel_log_lines_left_out_total',
@@ -99,6 +112,7 @@
         'stopping': int(state.stopping.asked),
         'current': int(state.is_current(now)),
         'watching': int(state.is_direct(now)),
+        'store_incarnation': state.store_record.incarnation or 0,
         'generation': state.text.generation if state.text else 0,
         'routes': len(state.text.route_by_key) if state.text else 0,
         'data_centres_evacuated': len(state.evacuated.centres),
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -15,7 +15,7 @@
 from bronzekeel.core.routing.events import Event, HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.messages import Known, View
 from bronzekeel.core.routing.sharing import FETCH_S
-from bronzekeel.entry.http_client import Call, HttpConnection
+from bronzekeel.entry.http_client import Call, HttpConnection, Reply
 from bronzekeel.entry.http_server import (
     BAD_REQUEST,
     NOT_FOUND,
@@ -113,19 +113,19 @@
             Call(
                 _target_of(effect.known),
                 monotonic() + FETCH_S,
-                lambda status, body: self._take_view(address, status, body),
+                lambda reply: self._take_view(address, reply),
                 lambda problem: self._emit(ViewFailed(address, problem)),
             ),
         )
 
-    def _take_view(self, address: tuple[str, int], status: int, body: bytes) -> None:
+    def _take_view(self, address: tuple[str, int], reply: Reply) -> None:
         if self._fetch is not None:
             self._fetch.close()
-        if status != OK:
-            self._emit(ViewFailed(address, f'refused with status {status}'))
+        if reply.status != OK:
+            self._emit(ViewFailed(address, f'refused with status {reply.status}'))
             return
         try:
-            view = decode_view(unpacked(body))
+            view = decode_view(unpacked(reply.body))
         except MessageError as fault:
             self._emit(ViewFailed(address, str(fault)))
             return
--- a/src/bronzekeel/entry/ports.py
+++ b/src/bronzekeel/entry/ports.py
@@ -4,7 +4,8 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from bronzekeel.core.routing.effects import ReadPage, WatchChanges
 from bronzekeel.core.routing.events import Event
@@ -14,6 +15,9 @@
 Address = tuple[str, int]
 Datagram = tuple[bytes, Address]
 
+#: Headers of an answer that has none.
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 
 #: Payload length, what names flow and id, flags, sequence, acknowledgement.
 Positions = tuple[int, bytes, int, int, int]
@@ -63,9 +67,21 @@
         """Return the HTTP target that waits for changes."""
 
     @abstractmethod
-    def read_page(self, collection: str, status: int, body: bytes) -> Event:
-        """Return what the answer to a page tells."""
+    def read_page(
+        self,
+        collection: str,
+        status: int,
+        body: bytes,
+        header_by_name: Mapping[str, str] = NO_HEADERS,
+    ) -> Event:
+        """Return what the answer to a page tells; names of headers are in lower case."""
 
     @abstractmethod
-    def read_changes(self, collection: str, status: int, body: bytes) -> Event:
-        """Return what the answer to a watch tells."""
+    def read_changes(
+        self,
+        collection: str,
+        status: int,
+        body: bytes,
+        header_by_name: Mapping[str, str] = NO_HEADERS,
+    ) -> Event:
+        """Return what the answer to a watch tells; names of headers are in lower case."""
--- a/src/bronzekeel/platform/calls.py
+++ b/src/bronzekeel/platform/calls.py
@@ -10,6 +10,10 @@
 WATCH = 'watch'
 WAIT_MS = 'waitMs'
 
+#: Header of all answers of the store.  It rises by one each time that the store comes back from
+#: a copy; revisions are told apart by it, since they are given out again from there.
+INCARNATION_HEADER = 'Store-Era'
+
 #: Allows an answer that is seconds old; the store charges a tenth for it.
 STALE = 'serializable=1'
 
--- a/src/bronzekeel/platform/client.py
+++ b/src/bronzekeel/platform/client.py
@@ -162,7 +162,7 @@
         call = Call(
             target,
             until,
-            lambda status, answer: _settle(replied, (status, answer)),
+            lambda reply: _settle(replied, (reply.status, reply.body)),
             lambda problem: _settle(replied, StoreLost(f'no answer from the platform: {problem}')),
             method=method,
             body=body,
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -3,9 +3,11 @@
 Its names are decoded here once.  Those that mislead:
 
 - `pathPrefix` of a route is a port between slashes, `host` an IP number;
-- `storeRevision` is the store's newest revision, `revision` an object's.
+- `storeRevision` is the store's newest revision, `revision` an object's;
+- the header `Store-Era` has the store's incarnation, zero where it is not told.
 """
 
+from collections.abc import Mapping
 from socket import inet_aton
 from types import MappingProxyType
 from typing import Any
@@ -29,12 +31,19 @@
     RoutingText,
     ServiceShare,
 )
-from bronzekeel.core.routing.field_checks import MOST_RATE, figure, label, whole_number
-from bronzekeel.entry.ports import StoreCalls
+from bronzekeel.core.routing.field_checks import (
+    MOST_RATE,
+    FieldError,
+    figure,
+    label,
+    whole_number,
+)
+from bronzekeel.entry.ports import NO_HEADERS, StoreCalls
 from bronzekeel.platform.bodies import BODY_FAULTS, decode_body
 from bronzekeel.platform.entries import read_entry
 from bronzekeel.platform.calls import (
     EVACUATIONS_KIND,
+    INCARNATION_HEADER,
     TEXT_KIND,
     TEXT_NAME,
     UPSTREAMS_KIND,
@@ -50,11 +59,15 @@
         Collection.EVACUATIONS.value: EVACUATIONS_KIND,
     },
 )
+_INCARNATION_KEY = INCARNATION_HEADER.lower()
 _OK = 200
 _GONE = 410
 _MS = 1000
 _DEFAULT_IDLE_MS = 15_000
 
+#: Digits of an incarnation at most.  Source: a store that came back a billion times.
+_MOST_INCARNATION_DIGITS = 9
+
 #: What a field of the wrong kind raises while it is read.
 _FORMAT_FAULTS = (
     *BODY_FAULTS,
@@ -79,7 +92,13 @@
         kind = _KIND_BY_COLLECTION[effect.collection]
         return watch_target(kind, effect.revision, effect.wait_s, stale=effect.stale)
 
-    def read_page(self, collection: str, status: int, body: bytes) -> Event:
+    def read_page(
+        self,
+        collection: str,
+        status: int,
+        body: bytes,
+        header_by_name: Mapping[str, str] = NO_HEADERS,
+    ) -> Event:
         """Return what the answer to a page tells."""
         if status != _OK:
             return CallFailed(collection, f'the store answered {status}')
@@ -91,24 +110,46 @@
                 objects,
                 int(page['storeRevision']),
                 more=bool(page.get('hasMore')),
+                incarnation=_incarnation(header_by_name),
             )
         except _FORMAT_FAULTS as fault:
             return CallFailed(collection, f'page unreadable: {fault!r}')
 
-    def read_changes(self, collection: str, status: int, body: bytes) -> Event:
+    def read_changes(
+        self,
+        collection: str,
+        status: int,
+        body: bytes,
+        header_by_name: Mapping[str, str] = NO_HEADERS,
+    ) -> Event:
         """Return what the answer to a watch tells."""
-        if status == _GONE:
-            return HistoryLost(collection)
-        if status != _OK:
-            return CallFailed(collection, f'the store answered {status}')
         try:
+            incarnation = _incarnation(header_by_name)
+            if status == _GONE:
+                return HistoryLost(collection, incarnation)
+            if status != _OK:
+                return CallFailed(collection, f'the store answered {status}')
             answer = decode_body(body)
             objects = [_changed(collection, event) for event in answer.get('events') or ()]
-            return ChangesRead(collection, objects, int(answer['storeRevision']))
+            return ChangesRead(
+                collection,
+                objects,
+                int(answer['storeRevision']),
+                incarnation=incarnation,
+            )
         except _FORMAT_FAULTS as fault:
             return CallFailed(collection, f'changes unreadable: {fault!r}')
 
 
+def _incarnation(header_by_name: Mapping[str, str]) -> int:
+    """Return which incarnation of the store answered.  Raises FieldError."""
+    told = header_by_name.get(_INCARNATION_KEY, '0')
+    digits = told.strip()
+    if not digits.isascii() or not digits.isdecimal() or len(digits) > _MOST_INCARNATION_DIGITS:
+        raise FieldError(INCARNATION_HEADER, told, 'a whole number')
+    return int(digits)
+
+
 def _changed(collection: str, event: Any) -> StoredObject:
     """Return the object of a change."""
     if not isinstance(event, dict):
--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -17,6 +17,7 @@
 )
 from bronzekeel.platform.calls import (
     AFTER,
+    INCARNATION_HEADER,
     LIST_PATH,
     OBJECT_PATH,
     TEXT_KIND,
@@ -80,7 +81,8 @@
     `down` answers 503, `silent` never answers, `latency_s` delays,
     `confirmations_to_lose` closes the connection after a write took effect,
     `calls_left` answers 429 at zero, `stale` answers serializable reads with
-    what was before the last change, `page_size` cuts lists.
+    what was before the last change, `page_size` cuts lists.  `incarnation` stands in the header
+    of all answers.
     """
 
     down: bool = False
@@ -91,6 +93,7 @@
     stale: bool = False
     page_size: int = 500
     calls: int = 0
+    incarnation: int = 1
     revision: int = 0
     port: int = 0
     by_place: dict[tuple[str, str], _Held] = field(default_factory=dict)
@@ -107,6 +110,7 @@
     async def open(self, port: int = 0) -> None:
         """Bind a port on loopback; 0 takes a free one."""
         app = web.Application(client_max_size=_MOST_BYTES)
+        app.on_response_prepare.append(partial(_mark, self))
         app.router.add_get(LIST_PATH, self._list)
         app.router.add_post(LIST_PATH, self._create)
         app.router.add_get(OBJECT_PATH, self._get)
@@ -306,3 +310,12 @@
             if request.transport is not None:
                 request.transport.abort()
         return web.json_response(held.answer())
+
+
+async def _mark(
+    store: PlatformStandIn,
+    request: web.Request,
+    response: web.StreamResponse,
+) -> None:
+    """Say in an answer which incarnation of a store gives it."""
+    response.headers[INCARNATION_HEADER] = str(store.incarnation)
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -238,6 +238,10 @@
         """
         self._with(self._evacuate)
 
+    def test_another_incarnation_of_the_store_is_told(self) -> None:
+        """The store came back from a copy: log and metrics say so."""
+        self._with(self._hear_another_incarnation)
+
     def test_metrics_are_served_beside_the_peers_questions(self) -> None:
         """Counters, gauges and the histogram of answers, in the usual text format."""
         self._with(self._read_metrics)
@@ -371,6 +375,18 @@
         delivered = await around.taken(around.upstream)
         self.assertEqual(42, int.from_bytes(delivered[:8], 'big'))
 
+    async def _hear_another_incarnation(self, around: Around) -> None:
+        around.put_upstream()
+        around.put_text()
+        balancer = around.start_balancer()
+        await until(lambda: balancer.state.is_current(monotonic()))
+        self.assertIn('bronzekeel_state{kind="store_incarnation"} 1', await metrics_of(balancer))
+        around.store.incarnation = 2
+        around.put_text(2)
+        await around.store.tell()
+        await around.wait_for_events({LogNumber.STORE_RESTORED, LogNumber.TEXT_IN_FORCE})
+        self.assertIn('bronzekeel_state{kind="store_incarnation"} 2', await metrics_of(balancer))
+
     async def _read_metrics(self, around: Around) -> None:
         around.put_upstream()
         around.put_text()
@@ -467,7 +483,7 @@
     return Call(
         f'/{name}',
         until_s,
-        lambda status, body: told.append(f'{name} {status}'),
+        lambda reply: told.append(f'{name} {reply.status}'),
         lambda problem: told.append(f'{name} failed'),
     )
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -249,7 +249,7 @@
         lines = [effect for effect in effects if isinstance(effect, WriteLine)]
         bad = [line for line in lines if line.number == LogNumber.OBJECT_BAD]
         self.assertEqual([True], [line.fields['withheld'] for line in bad])
-        self.assertEqual(1, state.unreadable_objects)
+        self.assertEqual(1, state.store_record.unreadable_objects)
 
 
 def _turn_bad(state: Any, revision: int) -> list[Any]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -261,6 +261,31 @@
             self.assertIsInstance(_STORE.read_changes('text', status, body), CallFailed)
         self.assertIsInstance(_STORE.read_changes('text', 410, b''), HistoryLost)
 
+    def test_the_incarnation_of_the_store_is_read(self) -> None:
+        """All answers tell which incarnation of the store gives them; zero where they do not."""
+        marked = {'content-type': 'application/json', 'store-era': '7'}
+        page_body = b'{"items": [], "hasMore": false, "storeRevision": 530}'
+        changes_body = b'{"events": [], "storeRevision": 530}'
+        for headers, incarnation in ((marked, 7), ({}, 0)):
+            told = (
+                _STORE.read_page('text', 200, page_body, headers),
+                _STORE.read_changes('text', 200, changes_body, headers),
+                _STORE.read_changes('text', 410, b'', headers),
+            )
+            for event in told:
+                self.assertEqual(incarnation, getattr(event, 'incarnation', None), event)
+
+    def test_an_unreadable_incarnation_fails_the_call(self) -> None:
+        """An answer that does not say clearly where it is from is not believed."""
+        page_body = b'{"items": [], "hasMore": false, "storeRevision": 530}'
+        changes_body = b'{"events": [], "storeRevision": 530}'
+        for told in ('', '-1', '1.5', 'seven', '\u0663', '9' * 5000):
+            headers = {'store-era': told}
+            self.assertIsInstance(_STORE.read_page('text', 200, page_body, headers), CallFailed)
+            changes = _STORE.read_changes('text', 200, changes_body, headers)
+            self.assertIsInstance(changes, CallFailed)
+            self.assertIsInstance(_STORE.read_changes('text', 410, b'', headers), CallFailed)
+
     def test_changes_and_removals(self) -> None:
         """A removal is an object without content."""
         body = {
