--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class _Held:
+class HeldObject:
     """Hold one object as the store has it."""
 
     kind: str
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Change:
+class HeldChange:
     """Hold one change of the history."""
 
     revision: int
@@ -96,9 +96,9 @@
     incarnation: int = 1
     revision: int = 0
     port: int = 0
-    by_place: dict[tuple[str, str], _Held] = field(default_factory=dict)
-    _history: list[_Change] = field(default_factory=list)
-    _history_from: int = 0
+    by_place: dict[tuple[str, str], HeldObject] = field(default_factory=dict)
+    history: list[HeldChange] = field(default_factory=list)
+    history_from: int = 0
     _runner: web.AppRunner | None = None
     _changed: Condition = field(default_factory=Condition)
 
@@ -156,7 +156,7 @@
         """Write an object as its owner would; return its revision."""
         held = self.by_place.get((kind, name))
         if held is None:
-            held = _Held(kind, name, self.revision + 1)
+            held = HeldObject(kind, name, self.revision + 1)
             self.by_place[kind, name] = held
         held.spec = spec
         return self._note(held)
@@ -169,8 +169,8 @@
 
     def compact(self) -> None:
         """Forget the history."""
-        self._history.clear()
-        self._history_from = self.revision
+        self.history.clear()
+        self.history_from = self.revision
 
     async def tell(self) -> None:
         """Let waiting watches look again, after changes made by ``put_object``."""
@@ -182,11 +182,11 @@
         self.down = down
         await self.tell()
 
-    def _note(self, held: _Held, *, removed: bool = False) -> int:
+    def _note(self, held: HeldObject, *, removed: bool = False) -> int:
         self.revision += 1
         held.revision = self.revision
-        change = _Change(self.revision, held.kind, held.answer(), removed)
-        self._history.append(change)
+        change = HeldChange(self.revision, held.kind, held.answer(), removed)
+        self.history.append(change)
         return self.revision
 
     async def _refuse(self) -> web.Response | None:
@@ -202,7 +202,7 @@
             self.calls_left -= 1
         return None
 
-    async def _find(self, request: web.Request) -> _Held | web.Response:
+    async def _find(self, request: web.Request) -> HeldObject | web.Response:
         """Return the object that a call is about, or the refusal of the call."""
         refusal = await self._refuse()
         if refusal is not None:
@@ -233,7 +233,7 @@
     async def _watch(self, request: web.Request) -> web.Response:
         kind = request.match_info['kind']
         since = int(request.query[WATCH])
-        if since < self._history_from:
+        if not self.history_from <= since <= self.revision:
             return web.Response(status=_GONE)
         wait_s = int(request.query.get(WAIT_MS, '0')) / _MS
         newer = partial(self._newer, kind, since)
@@ -247,12 +247,12 @@
     def _newer(self, kind: str, since: int) -> bool:
         if self.down:
             return True
-        return any(change.revision > since and change.kind == kind for change in self._history)
+        return any(change.revision > since and change.kind == kind for change in self.history)
 
     def _changes(self, kind: str, since: int) -> web.Response:
         changes = [
             (change.content, change.removed)
-            for change in self._history
+            for change in self.history
             if change.revision > since and change.kind == kind
         ]
         return web.json_response(changes_content(changes, self.revision))
@@ -303,7 +303,7 @@
             self.remove_object(held.kind, held.name)
         return await self._confirm(request, held)
 
-    async def _confirm(self, request: web.Request, held: _Held) -> web.Response:
+    async def _confirm(self, request: web.Request, held: HeldObject) -> web.Response:
         await self.tell()
         if self.confirmations_to_lose:
             self.confirmations_to_lose -= 1
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -31,6 +31,7 @@
 from bronzekeel.platform.packets import PlatformPackets
 from bronzekeel.standins.entry_settings import loopback_settings
 from bronzekeel.standins.platform import PlatformStandIn
+from bronzekeel.standins.store_copy import copy_of, restore
 
 
 _LOOPBACK = '127.0.0.1'
@@ -159,6 +160,12 @@
         await sleep(0.02)
 
 
+def _generation_of(balancer: EntryBalancer) -> int:
+    """Return the generation in force, zero when none is."""
+    in_force = balancer.state.text
+    return in_force.generation if in_force else 0
+
+
 async def status_of(balancer: EntryBalancer, path: str = '/ready') -> int:
     """Probe a balancer as the fabric would."""
     async with ClientSession() as session:
@@ -242,6 +249,13 @@
         """The store came back from a copy: log and metrics say so."""
         self._with(self._hear_another_incarnation)
 
+    def test_a_text_of_a_restored_store_is_taken(self) -> None:
+        """A host left out what operators wrote after their store had come back from a copy.
+
+        Its line said: text_older, generation 20, revision 16, in_force 18.
+        """
+        self._with(self._follow_a_restored_store)
+
     def test_metrics_are_served_beside_the_peers_questions(self) -> None:
         """Counters, gauges and the histogram of answers, in the usual text format."""
         self._with(self._read_metrics)
@@ -387,6 +401,25 @@
         await around.wait_for_events({LogNumber.STORE_RESTORED, LogNumber.TEXT_IN_FORCE})
         self.assertIn('bronzekeel_state{kind="store_incarnation"} 2', await metrics_of(balancer))
 
+    async def _follow_a_restored_store(self, around: Around) -> None:
+        around.put_upstream()
+        around.put_text()
+        balancer = around.start_balancer()
+        await until(lambda: balancer.state.is_current(monotonic()))
+        copy = copy_of(around.store)
+        for version in (2, 3, 4):
+            around.put_text(version)
+        await around.store.tell()
+        await until(lambda: _generation_of(balancer) == 4)
+        await around.store.switch(down=True)
+        restore(around.store, copy)
+        await around.store.switch(down=False)
+        for version in (4, 5):
+            around.put_text(version)
+        await around.store.tell()
+        await until(lambda: _generation_of(balancer) == 5)
+        await until(lambda: balancer.state.is_direct(monotonic()))
+
     async def _read_metrics(self, around: Around) -> None:
         around.put_upstream()
         around.put_text()
