--- a/src/bronzekeel/core/routing/evacuations.py
+++ b/src/bronzekeel/core/routing/evacuations.py
@@ -14,6 +14,7 @@
 from bronzekeel.core.routing.events import StoredObject
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.messages import Evacuated
+from bronzekeel.core.routing.revisions import shown
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -52,7 +53,7 @@
         (LogNumber.TAKEN_BACK, known.centres - told.centres),
     ):
         effects.extend(
-            WriteLine(number, data_centre=centre, revision=told.as_of, told_by=teller)
+            WriteLine(number, data_centre=centre, revision=shown(told.as_of), told_by=teller)
             for centre in sorted(centres)
         )
     return effects
--- a/src/bronzekeel/core/routing/events.py
+++ b/src/bronzekeel/core/routing/events.py
@@ -85,12 +85,9 @@
 
 
 class PageRead(Event):
-    """Tell that a page of a collection was read at the store's `revision`.
+    """Tell that a page of a collection was read at the store's `revision`."""
 
-    `incarnation` tells which run of the store's revisions that is.
-    """
-
-    __slots__ = ('collection', 'incarnation', 'more', 'objects', 'revision')
+    __slots__ = ('collection', 'more', 'objects', 'revision')
 
     def __init__(
         self,
@@ -99,10 +96,8 @@
         revision: int,
         *,
         more: bool,
-        incarnation: int = 0,
     ) -> None:
         """Keep the page; `more` tells that others follow."""
-        self.incarnation = incarnation
         self.collection = collection
         self.objects = objects
         self.revision = revision
@@ -112,21 +107,14 @@
 class ChangesRead(Event):
     """Tell what changed up to the store's `revision`.
 
-    `incarnation` tells which run of the store's revisions that is.
+    A watch that began in a former incarnation is answered by the number alone: what it tells then
+    is not all that is new.
     """
 
-    __slots__ = ('collection', 'incarnation', 'objects', 'revision')
+    __slots__ = ('collection', 'objects', 'revision')
 
-    def __init__(
-        self,
-        collection: str,
-        objects: list[StoredObject],
-        revision: int,
-        *,
-        incarnation: int = 0,
-    ) -> None:
+    def __init__(self, collection: str, objects: list[StoredObject], revision: int) -> None:
         """Keep the changes in their order."""
-        self.incarnation = incarnation
         self.collection = collection
         self.objects = objects
         self.revision = revision
--- a/src/bronzekeel/core/routing/field_checks.py
+++ b/src/bronzekeel/core/routing/field_checks.py
@@ -23,6 +23,10 @@
 #: on the largest hosts.
 MOST_RATE = 1e6
 
+#: Times at most that a store has come back from a copy.  Source: a figure beyond a billion is a
+#: mistake.
+MOST_INCARNATION = 1_000_000_000
+
 #: Largest revision and time that are counted with.  Source: 64 bits, as stores use.
 MOST_WHOLE = 0x7FFFFFFFFFFFFFFF
 
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -4,12 +4,14 @@
 history or cuts a watch off.  One notices by an answer that is a refusal or does
 not come.  After each failure it is called again later (`core.store_waits`); after a
 lost history the collection is listed anew, and what is missing then was removed
-meanwhile.
+meanwhile.  A store that came back from a copy is listed anew too: it answers a watch by
+the number, which means something else there.
 """
 
 from enum import StrEnum
 
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
+from bronzekeel.core.routing.revisions import incarnation_of
 from bronzekeel.core.store_waits import ANSWER_S, PROVING_WATCH_S, WATCH_S, retry_wait_s
 
 
@@ -42,7 +44,8 @@
 class Follower:
     """Hold how far one collection was read.
 
-    `revision` is the store's revision that is known here; a page was read at `answered_at`.
+    `revision` is the store's revision that is known here, `watched_from` the one from which the
+    last watch began; a page was read at `answered_at`.
     At `current_until` the last answer no longer proves that the view is current; at
     `doubtful_at` the watch must have told what a peer has told.  The listing in progress
     `has_gaps` when objects of it have no name that can be read.  Until `rests_until` no call is
@@ -66,6 +69,7 @@
         'retry_at',
         'revision',
         'stale',
+        'watched_from',
     )
 
     def __init__(self, collection: Collection, host: str) -> None:
@@ -86,6 +90,7 @@
         self.retry_at: float | None = None
         self.revision = 0
         self.stale = False
+        self.watched_from = 0
 
     def is_current(self, now: float) -> bool:
         """Whether the view is known to be as new as the store."""
@@ -129,6 +134,15 @@
             wait_s = STALE_NEWS_S if self.stale else NEWS_S
             self.doubtful_at = now + wait_s
 
+    def expect_incarnation(self, incarnation: int, now: float) -> None:
+        """Note that the store has this incarnation now.
+
+        What goes wrong without it: a watch that began in a former one waits for changes beyond
+        a number that the store has yet to give out again, and hears of none before.
+        """
+        if self.is_current(now) and incarnation_of(self.watched_from) < incarnation:
+            self.doubtful_at = now
+
     def is_doubtful(self, now: float) -> bool:
         """Whether the own watch did not tell what a peer told.
 
@@ -149,9 +163,16 @@
         self.listing_revision = None
         self.retry_at = None
         self.rests_until = None
+        self.doubtful_at = None
         self.stale = not self.listed and not self.failures
         return ReadPage(self.collection, '', stale=self.stale)
 
+    def is_page_of_listing(self, revision: int) -> bool:
+        """Whether a page read at `revision` fits those that were read before it."""
+        if self.listing_revision is None:
+            return True
+        return incarnation_of(revision) == incarnation_of(self.listing_revision)
+
     def next_page(self, names: list[str], revision: int) -> Effect:
         """Ask for the page after one with `names`."""
         self._note_page(names, revision)
@@ -187,8 +208,7 @@
     def watch(self, now: float, *, stale: bool = False) -> Effect:
         """Wait for changes after `revision`."""
         self._note_answer(now)
-        self.stale = stale
-        return WatchChanges(self.collection, self.revision, WATCH_S, stale=stale)
+        return self._watch(WATCH_S, stale=stale)
 
     def fail(self, now: float) -> None:
         """Plan the next try."""
@@ -209,11 +229,19 @@
         self.doubtful_at = None
         self.rests_until = None
         self.retry_at = None
-        self.stale = stale
         if self.listed:
-            return WatchChanges(self.collection, self.revision, PROVING_WATCH_S, stale=stale)
+            return self._watch(PROVING_WATCH_S, stale=stale)
         return self.begin_listing()
 
+    def is_continued_by(self, revision: int) -> bool:
+        """Whether an answer up to `revision` tells all that changed since the watch began."""
+        return incarnation_of(revision) == incarnation_of(self.watched_from)
+
+    def _watch(self, wait_s: float, *, stale: bool) -> Effect:
+        self.stale = stale
+        self.watched_from = self.revision
+        return WatchChanges(self.collection, self.revision, wait_s, stale=stale)
+
     def _note_answer(self, next_call_at: float) -> None:
         """Note that the store answered, and when the next call begins."""
         self.failures = 0
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -46,7 +46,7 @@
     rate_by_service = _largest(rates_of_centre(state, now), MOST_RATES)
     return Heartbeat(
         state.peers.me,
-        state.text_revision,
+        state.text_order,
         state.directory.newest_revision,
         {},
         others,
@@ -71,7 +71,7 @@
     }
     return Heartbeat(
         state.peers.me,
-        state.text_revision,
+        state.text_order,
         state.directory.newest_revision,
         _largest(busy_by_number, MOST_LOADS),
         state.peers.some_others(state.peers.me.data_centre, now),
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -67,7 +67,7 @@
 class Heartbeat:
     """Tell that a balancer lives, how new its views are, and its load.
 
-    `text_revision` and `upstreams_revision` are of the newest change that it
+    `text_order` is of the text in force there, `upstreams_revision` of the newest change that it
     knows.  `direct` tells that its own watches of the store work, `lost` that
     the store does not answer it.
     `busy_by_number` has the requests in progress that it sees, by the short
@@ -93,7 +93,7 @@
         'sender',
         'shares',
         'stopping',
-        'text_revision',
+        'text_order',
         'unanswered_by_number',
         'upstreams_revision',
     )
@@ -101,7 +101,7 @@
     def __init__(  # noqa: WPS211 (the fields of one message)
         self,
         sender: PeerAddress,
-        text_revision: int,
+        text_order: int,
         upstreams_revision: int,
         busy_by_number: dict[int, int],
         others: tuple[PeerAddress, ...] = (),
@@ -118,7 +118,7 @@
     ) -> None:
         """Keep the fields as they are sent."""
         self.sender = sender
-        self.text_revision = text_revision
+        self.text_order = text_order
         self.upstreams_revision = upstreams_revision
         self.busy_by_number = busy_by_number
         self.others = others
@@ -132,9 +132,9 @@
         self.lost = lost
         self.stopping = stopping
 
-    def knows_more(self, text_revision: int, upstreams_revision: int) -> bool:
+    def knows_more(self, text_order: int, upstreams_revision: int) -> bool:
         """Whether its sender knew something newer than these revisions."""
-        if self.text_revision > text_revision:
+        if self.text_order > text_order:
             return True
         return self.upstreams_revision > upstreams_revision
 
@@ -166,21 +166,21 @@
 class Known:
     """Say what the asker of a view knows already.
 
-    Revisions of the newest text, of the newest change of upstreams, and of the newest
+    The order of its text, the revisions of the newest change of upstreams and of the newest
     removal; the last is zero for one that has just started, which learns from the
     store what is listed and not what was.
     """
 
-    __slots__ = ('removals_revision', 'text_revision', 'upstreams_revision')
+    __slots__ = ('removals_revision', 'text_order', 'upstreams_revision')
 
     def __init__(
         self,
-        text_revision: int,
+        text_order: int,
         upstreams_revision: int,
         removals_revision: int,
     ) -> None:
-        """Keep the three revisions."""
-        self.text_revision = text_revision
+        """Keep the order and the two revisions."""
+        self.text_order = text_order
         self.upstreams_revision = upstreams_revision
         self.removals_revision = removals_revision
 
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -8,6 +8,7 @@
 from zlib import crc32
 
 from bronzekeel.core.routing.pools import Pool
+from bronzekeel.core.routing.revisions import text_order_of
 
 
 #: Bits of a connection id: both ends of a flow echo four bytes.
@@ -66,12 +67,19 @@
 class RoutingText:
     """Hold one accepted version of the operators' text.
 
-    `revision` orders texts from all sources; `generation` is the operators'
-    own number.  A flow that is silent for `idle_s` seconds may be forgotten.  A cold upstream of a
-    service in `cold_rate_by_service` bears so many requests a second.
+    `order` orders texts from all sources: by `generation`, the operators'
+    own number, then by `revision`.  A flow that is silent for `idle_s` seconds may be forgotten.
+    A cold upstream of a service in `cold_rate_by_service` bears so many requests a second.
     """
 
-    __slots__ = ('cold_rate_by_service', 'generation', 'idle_s', 'revision', 'route_by_key')
+    __slots__ = (
+        'cold_rate_by_service',
+        'generation',
+        'idle_s',
+        'order',
+        'revision',
+        'route_by_key',
+    )
 
     def __init__(
         self,
@@ -85,6 +93,7 @@
         self.cold_rate_by_service = cold_rate_by_service or {}
         self.generation = generation
         self.revision = revision
+        self.order = text_order_of(generation, revision)
         self.route_by_key = route_by_key
         self.idle_s = idle_s
 
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -229,11 +229,11 @@
         self._name_at = now + NAMING_S
         return (heard[self._turn % len(heard)],)
 
-    def knows_more(self, text_revision: int, upstreams_revision: int, now: float) -> bool:
+    def knows_more(self, text_order: int, upstreams_revision: int, now: float) -> bool:
         """Whether a living peer knows something newer than these revisions."""
         for peer in self.living(now):
             heartbeat = peer.heartbeat
-            if heartbeat is not None and heartbeat.knows_more(text_revision, upstreams_revision):
+            if heartbeat is not None and heartbeat.knows_more(text_order, upstreams_revision):
                 return True
         return False
 
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -34,6 +34,7 @@
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
+from bronzekeel.core.routing.revisions import incarnation_of, revision_of, shown
 from bronzekeel.core.routing.sharing import (
     ask_elsewhere,
     beat,
@@ -45,6 +46,7 @@
 )
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.taking import (
+    note_restored,
     settle_starts,
     take_entry,
     take_removal,
@@ -64,6 +66,9 @@
 #: callers give an opening packet up after 1.4 s, and repeat all others sooner.
 STALE_PAUSE_S = 1.4
 
+#: What is wrong, in the log, with an answer from before the store was restored.
+_FORMER = 'a former incarnation of the store answered'
+
 #: Who told, in the log, where it was no peer.
 _STORE = 'store'
 
@@ -87,9 +92,15 @@
 
 def _on_page(state: RoutingState, event: PageRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
+    if incarnation_of(event.revision) < state.incarnation:
+        return _on_failure(state, CallFailed(event.collection, _FORMER), now)
     follower.answered_at = now
     effects = _note_regained(state, follower, now)
-    effects.extend(_note_incarnation(state, follower, event.incarnation))
+    effects.extend(_note_incarnation(state, follower, event.revision, now))
+    if not follower.is_page_of_listing(event.revision):
+        return [*effects, follower.begin_listing()]
+    if follower.collection is Collection.UPSTREAMS:
+        note_restored(state, event.revision, now)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
     names = [listed.name for listed in event.objects if listed.name]
@@ -112,8 +123,13 @@
 
 def _on_changes(state: RoutingState, event: ChangesRead, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
+    if incarnation_of(event.revision) < state.incarnation:
+        return _on_failure(state, CallFailed(event.collection, _FORMER), now)
     effects = _note_regained(state, follower, now)
-    effects.extend(_note_incarnation(state, follower, event.incarnation))
+    effects.extend(_note_incarnation(state, follower, event.revision, now))
+    if not follower.is_continued_by(event.revision):
+        follower.doubt(now)
+        return [*effects, follower.begin_listing()]
     known = _news(state)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
@@ -133,7 +149,7 @@
 
 def _news(state: RoutingState) -> tuple[int, int, frozenset[str]]:
     """Return what differs when the store has told something that peers should know at once."""
-    return state.text_revision, state.directory.newest_revision, state.evacuated.centres
+    return state.text_order, state.directory.newest_revision, state.evacuated.centres
 
 
 def _go_on(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
@@ -148,11 +164,11 @@
 def _on_history_lost(state: RoutingState, event: HistoryLost, now: float) -> list[Effect]:
     follower = state.follower_by_collection[Collection(event.collection)]
     state.store_record.histories_lost += 1
-    effects = _note_incarnation(state, follower, event.incarnation)
+    effects = _note_incarnation(state, follower, revision_of(event.incarnation, 0), now)
     line = WriteLine(
         LogNumber.HISTORY_LOST,
         collection=event.collection,
-        revision=follower.revision,
+        revision=shown(follower.revision),
     )
     return [*effects, line, follower.begin_listing()]
 
@@ -168,7 +184,7 @@
             LogNumber.PLATFORM_LOST,
             collection=event.collection,
             problem=event.problem,
-            revision=follower.revision,
+            revision=shown(follower.revision),
         ),
     ]
 
@@ -196,12 +212,22 @@
 def _note_incarnation(
     state: RoutingState,
     follower: Follower,
-    incarnation: int,
+    told: int,
+    now: float,
 ) -> list[Effect]:
-    """Tell when another incarnation of the store answers than before."""
+    """Note which incarnation of the store answered, up to the revision that it `told`.
+
+    The watches of the other collections are made anew if it is a newer one.
+    """
+    incarnation = incarnation_of(told)
     former = state.store_record.incarnation
+    if former is not None and incarnation <= former:
+        return []
     state.store_record.incarnation = incarnation
-    if former is None or former == incarnation:
+    for other in state.follower_by_collection.values():
+        if other is not follower:
+            other.expect_incarnation(incarnation, now)
+    if former is None:
         return []
     return [
         WriteLine(
@@ -209,7 +235,7 @@
             collection=follower.collection.value,
             incarnation=incarnation,
             former_incarnation=former,
-            revision=follower.revision,
+            revision=shown(follower.revision),
         ),
     ]
 
@@ -362,7 +388,7 @@
     line = WriteLine(
         LogNumber.WATCH_DOUBTED,
         collection=follower.collection.value,
-        revision=follower.revision,
+        revision=shown(follower.revision),
     )
     return [line, follower.resume(stale=state.reads_stale(follower.collection, now))]
 
--- a/src/bronzekeel/core/routing/relays.py
+++ b/src/bronzekeel/core/routing/relays.py
@@ -54,7 +54,7 @@
 
     def ahead(
         self,
-        text_revision: int,
+        text_order: int,
         upstreams_revision: int,
         now: float,
     ) -> PeerAddress | None:
@@ -64,7 +64,7 @@
                 heartbeat = peer.heartbeat
                 if heartbeat is None or not _is_fresh(peer, now):
                     continue
-                if heartbeat.knows_more(text_revision, upstreams_revision):
+                if heartbeat.knows_more(text_order, upstreams_revision):
                     return peer.address
         return None
 
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -4,8 +4,9 @@
 off from the store knows nothing, and the fabric may send it packets all the
 same; and every host's own watch costs the store a call at each change.
 
-Views are ordered by the store's revisions, from whatever source they come:
-what is older than what is known is left out, so nobody is taken back.
+Views are ordered by the store's revisions (`core.routing.revisions`), texts by
+their generations, from whatever source they come: what is older than what is known
+is left out, so nobody is taken back.
 """
 
 from bronzekeel.core.log_numbers import LogNumber
@@ -16,9 +17,16 @@
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
 from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
+from bronzekeel.core.routing.model import UpstreamEntry
+from bronzekeel.core.routing.revisions import incarnation_of
 from bronzekeel.core.routing.silence import take_silent
 from bronzekeel.core.routing.state import RoutingState
-from bronzekeel.core.routing.taking import take_entry, take_removal, take_text
+from bronzekeel.core.routing.taking import (
+    note_restored,
+    take_entry,
+    take_removal,
+    take_text,
+)
 
 
 #: Seconds after which a view that was asked for is asked for again.
@@ -85,7 +93,7 @@
     take_silent(state, heartbeat.unanswered_by_number, now)
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
-    if joined or (state.text_revision and not heartbeat.text_revision):
+    if joined or (state.text_order and not heartbeat.text_order):
         effects.append(SendHeartbeat(answer_to(state, sender, now), [sender.address]))
     if not _knows_more(state, heartbeat, now):
         return effects
@@ -102,8 +110,9 @@
     What another data centre told is told on at once: here everybody waits for it.
     """
     view = event.view
-    known = (state.text_revision, state.directory.newest_revision)
+    known = (state.text_order, state.directory.newest_revision)
     state.fetch_until = now
+    restored = note_restored(state, view.newest_revision, now)
     effects: list[Effect] = []
     if view.text is not None:
         effects.extend(take_text(state, view.text))
@@ -111,6 +120,8 @@
         effects.extend(take_entry(state, entry, now))
     for missing in view.missing:
         effects.extend(_take_missing(state, missing, now))
+    if restored and view.upstreams_followed:
+        effects.extend(_remove_untold(state, view, now))
     state.directory.account_for(view.newest_revision)
     state.knows_missing = state.knows_missing or view.all_missing
     followers = state.follower_by_collection
@@ -123,6 +134,16 @@
     return effects
 
 
+def _remove_untold(state: RoutingState, view: View, now: float) -> list[Effect]:
+    """Note the upstreams that a restored store has lost: a view of it is whole."""
+    told = {entry.name for entry in view.entries}
+    effects: list[Effect] = []
+    for name in list(state.directory.by_name):
+        if name not in told:
+            effects.extend(take_removal(state, name, view.newest_revision, now))
+    return effects
+
+
 def note_refusal(state: RoutingState, event: ViewFailed, now: float) -> list[Effect]:
     """Note that a peer gave no view; the next heartbeat asks again."""
     state.fetch_until = now
@@ -139,7 +160,7 @@
     """
     if state.behind_since is None:
         return False
-    if not state.peers.knows_more(state.text_revision, state.directory.newest_revision, now):
+    if not state.peers.knows_more(state.text_order, state.directory.newest_revision, now):
         state.behind_since = None
         return False
     return now >= state.behind_since + BEHIND_S
@@ -154,7 +175,7 @@
     upstreams that have left.  One notices by hosts elsewhere that know more.
     """
     ahead = state.relays.ahead(
-        state.text_revision,
+        state.text_order,
         state.directory.newest_revision,
         now,
     )
@@ -172,43 +193,54 @@
     """Return what this balancer knows beyond what is `known`.
 
     What the store's listing does not tell is told to those that have not asked for it yet:
-    upstreams that are no longer listed, and those whose entries became unreadable.
+    upstreams that are no longer listed, and those whose entries became unreadable.  One that knows
+    only a former incarnation of the store is told all that is listed: what the store has lost
+    has no revision.
     """
-    entries = []
-    missing = []
-    for upstream in state.directory.by_name.values():
-        if upstream.missing_at is None:
-            withheld = not upstream.entry.usable
-            seen = known.removals_revision if withheld else known.upstreams_revision
-            if upstream.entry.revision > seen:
-                entries.append(upstream.entry)
-            continue
-        if upstream.removed_revision > known.removals_revision:
-            wait_s = max(0, upstream.gone_at - now)
-            missing.append(
-                MissingEntry(
-                    upstream.entry,
-                    upstream.removed_revision,
-                    wait_s,
-                    left=upstream.left,
-                ),
-            )
-    entries.extend(
-        older for older in state.directory.older_starts if older.revision > known.upstreams_revision
-    )
     followers = state.follower_by_collection
     upstreams = followers[Collection.UPSTREAMS]
     return View(
-        state.text if state.text_revision > known.text_revision else None,
+        state.text if state.text_order > known.text_order else None,
         followers[Collection.TEXT].revision,
-        entries,
-        missing,
+        _entries_since(state, known),
+        _missing_since(state, known, now),
         upstreams.revision if upstreams.listed else 0,
         state.directory.newest_revision,
         all_missing=not known.removals_revision,
     )
 
 
+def _entries_since(state: RoutingState, known: Known) -> list[UpstreamEntry]:
+    newest = state.directory.newest_revision
+    whole = incarnation_of(known.upstreams_revision) < incarnation_of(newest)
+    entries = []
+    for upstream in state.directory.by_name.values():
+        if upstream.missing_at is not None:
+            continue
+        withheld = not upstream.entry.usable
+        seen = known.removals_revision if withheld else known.upstreams_revision
+        if whole or upstream.entry.revision > seen:
+            entries.append(upstream.entry)
+    # After the entries that hold: taken before them, an older start would pass for the newer word.
+    entries.extend(
+        older for older in state.directory.older_starts if older.revision > known.upstreams_revision
+    )
+    return entries
+
+
+def _missing_since(state: RoutingState, known: Known, now: float) -> list[MissingEntry]:
+    return [
+        MissingEntry(
+            upstream.entry,
+            upstream.removed_revision,
+            max(0, upstream.gone_at - now),
+            left=upstream.left,
+        )
+        for upstream in state.directory.by_name.values()
+        if upstream.missing_at is not None and upstream.removed_revision > known.removals_revision
+    ]
+
+
 def _take_evacuated(state: RoutingState, heartbeat: Heartbeat, now: float) -> list[Effect]:
     """Take what a peer says of evacuations.
 
@@ -231,7 +263,7 @@
     state.fetch_until = now + FETCH_S
     newest = state.directory.newest_revision
     removals = newest if state.knows_missing else 0
-    return FetchView(peer.address, Known(state.text_revision, newest, removals))
+    return FetchView(peer.address, Known(state.text_order, newest, removals))
 
 
 def _note_news(state: RoutingState, known: tuple[int, int], now: float) -> list[Effect]:
@@ -240,13 +272,13 @@
     Own watches have to tell the same soon, else they are doubted.  What another
     data centre told is told on at once: here everybody waits for it.
     """
-    text_revision, upstreams_revision = known
+    text_order, upstreams_revision = known
     followers = state.follower_by_collection
-    if state.text_revision > text_revision:
+    if state.text_order > text_order:
         followers[Collection.TEXT].expect_news(now)
     if state.directory.newest_revision > upstreams_revision:
         followers[Collection.UPSTREAMS].expect_news(now)
-    told = known != (state.text_revision, state.directory.newest_revision)
+    told = known != (state.text_order, state.directory.newest_revision)
     if told and state.told_elsewhere_at is not None:
         return announce_change(state, now)
     return []
@@ -260,7 +292,7 @@
     centre, so that no change crosses data centres once for each host.  One of those is asked
     once for the entries that it remembers and the store no longer has: their upstreams may live.
     """
-    if not heartbeat.text_revision:
+    if not heartbeat.text_order:
         return False
     near = heartbeat.sender.data_centre == state.peers.me.data_centre
     if not state.ready:
@@ -269,7 +301,7 @@
         return False
     if not state.knows_missing:
         return True
-    return heartbeat.knows_more(state.text_revision, state.directory.newest_revision)
+    return heartbeat.knows_more(state.text_order, state.directory.newest_revision)
 
 
 def _is_unanswered(state: RoutingState, now: float) -> bool:
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -15,6 +15,7 @@
 from bronzekeel.core.routing.overflow import RoomElsewhere
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.relays import Relays
+from bronzekeel.core.routing.revisions import incarnation_of
 from bronzekeel.core.routing.shared_load import SharedLoads
 from bronzekeel.core.routing.stopping import Stopping
 from bronzekeel.core.routing.store_record import StoreRecord
@@ -120,11 +121,22 @@
         """The store's revision of the text in force, zero when none is."""
         return self.text.revision if self.text else 0
 
+    @property
+    def text_order(self) -> int:
+        """What orders the text in force among all others, zero when none is."""
+        return self.text.order if self.text else 0
+
     @property
     def evacuated(self) -> Evacuated:
         """The newest that is known of evacuations."""
         return self.directory.evacuated
 
+    @property
+    def incarnation(self) -> int:
+        """The newest incarnation of the store that is known, from the store or a peer."""
+        told = max(self.directory.newest_revision, self.evacuated.as_of)
+        return max(self.store_record.incarnation or 0, incarnation_of(told))
+
     @property
     def epoch(self) -> tuple[int, int]:
         """What differs after a change of where packets of open flows go."""
@@ -148,7 +160,7 @@
             return True
         return has_current_watcher(
             self.peers,
-            self.text_revision,
+            self.text_order,
             self.directory.newest_revision,
             now,
         )
--- a/src/bronzekeel/core/routing/store_record.py
+++ b/src/bronzekeel/core/routing/store_record.py
@@ -5,10 +5,9 @@
 
 
 class StoreRecord:
-    """Hold which incarnation of the store answered last, and count what it told in vain.
+    """Hold the newest incarnation of the store that answered, and count what it told in vain.
 
-    An `incarnation` is one run of the store's revisions: the store comes back from a copy, and
-    counts on from there.  It is None before the first answer.  `histories_lost` counts watches
+    It is None before the first answer.  `histories_lost` counts watches
     that could not go on, `texts_refused` texts that were not put in force, and
     `unreadable_objects` what could not be read.
     """
--- a/src/bronzekeel/core/routing/taking.py
+++ b/src/bronzekeel/core/routing/taking.py
@@ -1,29 +1,30 @@
-"""Take texts and entries, from whatever source, in the order of their revisions.
+"""Take texts and entries, from whatever source, in their order.
 
 What goes wrong without the order: an answer that was under way while the
-watch moved on, a peer that was paused, or a read that is seconds old takes a
-balancer back to a text that is no longer in force.
+watch moved on, a peer that was paused, a read that is seconds old, or a store that came
+back from a copy takes a balancer back to a text that is no longer in force.
 """
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import Effect, WriteLine
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
+from bronzekeel.core.routing.revisions import incarnation_of, shown
 from bronzekeel.core.routing.state import RoutingState
 
 
 def take_text(state: RoutingState, text: RoutingText) -> list[Effect]:
     """Put a text in force unless a newer one is."""
     known = state.text
-    if known is not None and text.revision == known.revision:
-        return [] if text.generation == known.generation else _refused(state, text, known)
-    if known is not None and state.directory.ordered and text.revision < known.revision:
+    if known is not None and text.order == known.order:
+        return []
+    if known is not None and state.directory.ordered and text.order < known.order:
         return _refused(state, text, known)
     state.text = text
     return [
         WriteLine(
             LogNumber.TEXT_IN_FORCE,
             generation=text.generation,
-            revision=text.revision,
+            revision=shown(text.revision),
             routes=len(text.route_by_key),
         ),
     ]
@@ -36,9 +37,9 @@
         WriteLine(
             LogNumber.TEXT_OLDER,
             generation=text.generation,
-            revision=text.revision,
+            revision=shown(text.revision),
             in_force_generation=known.generation,
-            in_force=known.revision,
+            in_force=shown(known.revision),
         ),
     ]
 
@@ -58,7 +59,7 @@
                 address=':'.join(map(str, entry.address)),
                 former_start_ms=former.entry.started_ms,
                 start_ms=entry.started_ms,
-                revision=entry.revision,
+                revision=shown(entry.revision),
             ),
         ]
     return [
@@ -68,7 +69,7 @@
             service=entry.service,
             draining=entry.draining,
             cold_s=entry.cold_s,
-            revision=entry.revision,
+            revision=shown(entry.revision),
         ),
     ]
 
@@ -81,13 +82,26 @@
         WriteLine(
             LogNumber.OBJECT_BAD,
             object=name,
-            revision=revision,
+            revision=shown(revision),
             problem=problem,
             withheld=withheld,
         ),
     ]
 
 
+def note_restored(state: RoutingState, revision: int, now: float) -> bool:
+    """Note that `revision` tells of upstreams; return whether the store was restored meanwhile.
+
+    Upstreams whose entries the restored store does not have write them again: without the time
+    for that all that joined after the copy was made would look gone at once.
+    """
+    known = state.directory.newest_revision
+    if not known or incarnation_of(revision) <= incarnation_of(known):
+        return False
+    state.directory.note_regained(now)
+    return True
+
+
 def settle_starts(state: RoutingState, now: float) -> list[Effect]:
     """Believe what older starts of upstreams have said for long."""
     effects: list[Effect] = []
@@ -107,6 +121,6 @@
             upstream=name,
             left=missed.left,
             gone_in_s=round(missed.gone_at - now, 3),
-            revision=revision,
+            revision=shown(revision),
         ),
     ]
--- a/src/bronzekeel/core/routing/watch_duty.py
+++ b/src/bronzekeel/core/routing/watch_duty.py
@@ -95,7 +95,7 @@
 
 def has_current_watcher(
     peers: PeerTable,
-    text_revision: int,
+    text_order: int,
     upstreams_revision: int,
     now: float,
 ) -> bool:
@@ -105,7 +105,7 @@
         heartbeat = peer.heartbeat
         if heartbeat is None or not heartbeat.direct:
             continue
-        if heartbeat.knows_more(text_revision, upstreams_revision):
+        if heartbeat.knows_more(text_order, upstreams_revision):
             return False
         told = True
     return told
--- a/src/bronzekeel/entry/decision_log.py
+++ b/src/bronzekeel/entry/decision_log.py
@@ -5,6 +5,7 @@
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
 from bronzekeel.core.routing.model import flow_text
+from bronzekeel.core.routing.revisions import shown
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.entry.lines import LineLog
 
@@ -41,7 +42,7 @@
         upstream = decision.upstream
         if upstream is not None:
             fields['upstream'] = upstream.entry.name
-            fields['revision'] = upstream.entry.revision
+            fields['revision'] = shown(upstream.entry.revision)
             fields['busy'] = upstream.busy_flows
             fields['open'] = upstream.open_flows
             fields['unanswered'] = upstream.unanswered
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -30,6 +30,12 @@
     View,
 )
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.entry.revision_fields import (
+    decode_revision,
+    decode_text_order,
+    encode_revision,
+    encode_text_order,
+)
 
 
 #: What a message of the wrong shape raises while it is read.
@@ -62,7 +68,7 @@
 #: homes.
 _RouteKind = tuple[tuple[tuple[str, int], ...], int, float, tuple[str, ...]]
 
-#: Fields of an entry in the order in which they are told.
+#: Fields of an entry in the order in which they are told; the revision follows them.
 _ENTRY_FIELDS = (
     'name',
     'number',
@@ -72,7 +78,6 @@
     'slots',
     'draining',
     'cold_s',
-    'revision',
     'started_ms',
     'usable',
 )
@@ -88,8 +93,8 @@
     return _encoded(
         {
             'from': _peer_out(heartbeat.sender),
-            'text': heartbeat.text_revision,
-            'upstreams': heartbeat.upstreams_revision,
+            'text': encode_text_order(heartbeat.text_order),
+            'upstreams': encode_revision(heartbeat.upstreams_revision),
             'unanswered': list(heartbeat.unanswered_by_number.items()),
             'busy': list(heartbeat.busy_by_number.items()),
             'others': [_peer_out(other) for other in heartbeat.others],
@@ -100,7 +105,10 @@
             'loads': [
                 (service, round(load, 2)) for service, load in heartbeat.load_by_service.items()
             ],
-            'evacuated': (heartbeat.evacuated.as_of, sorted(heartbeat.evacuated.centres)),
+            'evacuated': (
+                encode_revision(heartbeat.evacuated.as_of),
+                sorted(heartbeat.evacuated.centres),
+            ),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
         },
@@ -114,8 +122,8 @@
         flags = dict(zip(_FLAGS, map(bool, fields['flags']), strict=True))
         return Heartbeat(
             _peer_in(fields['from']),
-            int(fields['text']),
-            int(fields['upstreams']),
+            decode_text_order(*fields['text']),
+            decode_revision(*fields['upstreams']),
             {int(number): int(busy) for number, busy in fields['busy']},
             tuple(_peer_in(other) for other in fields['others']),
             {str(service): _figure_in(rate) for service, rate in fields['rates']},
@@ -137,14 +145,19 @@
     return _encoded(
         {
             'text': None if view.text is None else _text_out(view.text),
-            'text_followed': view.text_followed,
+            'text_followed': encode_revision(view.text_followed),
             'entries': [_entry_out(entry) for entry in view.entries],
             'missing': [
-                (_entry_out(missing.entry), missing.revision, missing.gone_in_s, missing.left)
+                (
+                    _entry_out(missing.entry),
+                    encode_revision(missing.revision),
+                    missing.gone_in_s,
+                    missing.left,
+                )
                 for missing in view.missing
             ],
-            'upstreams_followed': view.upstreams_followed,
-            'newest': view.newest_revision,
+            'upstreams_followed': encode_revision(view.upstreams_followed),
+            'newest': encode_revision(view.newest_revision),
             'all_missing': view.all_missing,
         },
     )
@@ -157,11 +170,11 @@
         text = fields['text']
         return View(
             None if text is None else _text_in(text),
-            int(fields['text_followed']),
+            decode_revision(*fields['text_followed']),
             [_entry_in(entry) for entry in fields['entries']],
             [_missing_in(missing) for missing in fields['missing']],
-            int(fields['upstreams_followed']),
-            int(fields['newest']),
+            decode_revision(*fields['upstreams_followed']),
+            decode_revision(*fields['newest']),
             all_missing=bool(fields['all_missing']),
         )
     except _FORMAT_FAULTS as fault:
@@ -228,9 +241,9 @@
     )
 
 
-def _evacuated_in(as_of: Any, centres: list[Any]) -> Evacuated:
+def _evacuated_in(as_of: list[Any], centres: list[Any]) -> Evacuated:
     names = frozenset(label('evacuated', centre) for centre in centres)
-    return Evacuated(whole_number('as_of', as_of), names)
+    return Evacuated(decode_revision(*as_of), names)
 
 
 def _figure_in(field: Any) -> float:
@@ -255,7 +268,7 @@
         keys_by_kind.setdefault(kind, []).append(route.key.hex())
     return {
         'generation': text.generation,
-        'revision': text.revision,
+        'revision': encode_revision(text.revision),
         'idle_s': text.idle_s,
         'cold_rates': list(text.cold_rate_by_service.items()),
         'groups': [(*kind, ''.join(keys)) for kind, keys in keys_by_kind.items()],
@@ -265,8 +278,8 @@
 def _text_in(fields: dict[str, Any]) -> RoutingText:
     route_by_key = {route.key: route for group in fields['groups'] for route in _routes_in(*group)}
     return RoutingText(
-        int(fields['generation']),
-        int(fields['revision']),
+        whole_number('generation', fields['generation']),
+        decode_revision(*fields['revision']),
         route_by_key,
         float(fields['idle_s']),
         {str(service): _figure_in(rate) for service, rate in fields['cold_rates']},
@@ -290,11 +303,13 @@
 
 def _entry_out(entry: UpstreamEntry) -> list[object]:
     """Return an entry by the places of its fields: names would be half of a view."""
-    return [getattr(entry, name) for name in _ENTRY_FIELDS]
+    fields = [getattr(entry, name) for name in _ENTRY_FIELDS]
+    return [*fields, encode_revision(entry.revision)]
 
 
 def _entry_in(listed: list[Any]) -> UpstreamEntry:
-    fields = dict(zip(_ENTRY_FIELDS, listed, strict=True))
+    *told, revision = listed
+    fields = dict(zip(_ENTRY_FIELDS, told, strict=True))
     host, port = fields['address']
     return UpstreamEntry(
         name=label('name', fields['name']),
@@ -305,7 +320,7 @@
         slots=whole_number('slots', fields['slots'], 1, MOST_SLOTS),
         draining=bool(fields['draining']),
         cold_s=figure('cold_s', fields['cold_s'], MOST_COLD_S),
-        revision=whole_number('revision', fields['revision']),
+        revision=decode_revision(*revision),
         started_ms=whole_number('started_ms', fields['started_ms']),
         usable=bool(fields['usable']),
     )
@@ -313,4 +328,9 @@
 
 def _missing_in(fields: list[Any]) -> MissingEntry:
     entry, revision, gone_in_s, left = fields
-    return MissingEntry(_entry_in(entry), int(revision), float(gone_in_s), left=bool(left))
+    return MissingEntry(
+        _entry_in(entry),
+        decode_revision(*revision),
+        float(gone_in_s),
+        left=bool(left),
+    )
--- a/src/bronzekeel/entry/peers.py
+++ b/src/bronzekeel/entry/peers.py
@@ -45,6 +45,9 @@
 
 _PATH = '/view/'
 _REVISIONS = 3
+
+#: Digits of a text's order at most: a generation, an incarnation and a number of 64 bits each.
+_MOST_DIGITS = 58
 _BATCH = 64
 _MOST_DATAGRAM = 8192
 
@@ -159,12 +162,16 @@
         if self._server.sending >= MOST_SENT_AT_ONCE:
             return Answer(UNAVAILABLE)
         revisions = target.removeprefix(_PATH).split('/')
-        if len(revisions) != _REVISIONS or not all(map(str.isdecimal, revisions)):
+        if len(revisions) != _REVISIONS or not all(map(_is_whole, revisions)):
             return Answer(BAD_REQUEST)
         view = self._view_since(Known(*map(int, revisions)))
         return Answer(OK, packed(encode_view(view)))
 
 
+def _is_whole(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= _MOST_DIGITS
+
+
 def _target_of(known: Known) -> str:
-    revisions = (known.text_revision, known.upstreams_revision, known.removals_revision)
+    revisions = (known.text_order, known.upstreams_revision, known.removals_revision)
     return _PATH + '/'.join(map(str, revisions))
--- /dev/null
+++ b/src/bronzekeel/entry/revision_fields.py
@@ -0,0 +1,43 @@
+"""Write and read revisions in what balancers tell each other, in their parts.
+
+As one number a revision has twenty digits, which is dear in heartbeats.
+"""
+
+from typing import Any
+
+from bronzekeel.core.routing.field_checks import MOST_INCARNATION, whole_number
+from bronzekeel.core.routing.revisions import (
+    generation_in,
+    incarnation_of,
+    number_of,
+    revision_in,
+    revision_of,
+    text_order_of,
+)
+
+
+def encode_revision(revision: int) -> tuple[int, int]:
+    """Return the parts of a revision."""
+    return incarnation_of(revision), number_of(revision)
+
+
+def decode_revision(incarnation: Any, number: Any) -> int:
+    """Return the revision that has these parts.  Raises FieldError."""
+    return revision_of(
+        whole_number('incarnation', incarnation, most=MOST_INCARNATION),
+        whole_number('revision', number),
+    )
+
+
+def encode_text_order(text_order: int) -> tuple[int, tuple[int, int]]:
+    """Return the parts of a text's order."""
+    generation = generation_in(text_order)
+    return generation, encode_revision(revision_in(text_order))
+
+
+def decode_text_order(generation: Any, revision: list[Any]) -> int:
+    """Return the order that has these parts.  Raises FieldError or TypeError."""
+    return text_order_of(
+        whole_number('generation', generation),
+        decode_revision(*revision),
+    )
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -32,12 +32,14 @@
     ServiceShare,
 )
 from bronzekeel.core.routing.field_checks import (
+    MOST_INCARNATION,
     MOST_RATE,
     FieldError,
     figure,
     label,
     whole_number,
 )
+from bronzekeel.core.routing.revisions import number_of, revision_of
 from bronzekeel.entry.ports import NO_HEADERS, StoreCalls
 from bronzekeel.platform.bodies import BODY_FAULTS, decode_body
 from bronzekeel.platform.entries import read_entry
@@ -65,9 +67,6 @@
 _MS = 1000
 _DEFAULT_IDLE_MS = 15_000
 
-#: Digits of an incarnation at most.  Source: a store that came back a billion times.
-_MOST_INCARNATION_DIGITS = 9
-
 #: What a field of the wrong kind raises while it is read.
 _FORMAT_FAULTS = (
     *BODY_FAULTS,
@@ -90,7 +89,8 @@
     def watch_target(self, effect: WatchChanges) -> str:
         """Return the target that waits for a kind's changes."""
         kind = _KIND_BY_COLLECTION[effect.collection]
-        return watch_target(kind, effect.revision, effect.wait_s, stale=effect.stale)
+        number = number_of(effect.revision)
+        return watch_target(kind, number, effect.wait_s, stale=effect.stale)
 
     def read_page(
         self,
@@ -103,14 +103,13 @@
         if status != _OK:
             return CallFailed(collection, f'the store answered {status}')
         try:
+            incarnation = _incarnation(header_by_name)
             page = decode_body(body)
-            objects = [_stored(collection, item, removed=False) for item in page['items']]
             return PageRead(
                 collection,
-                objects,
-                int(page['storeRevision']),
+                [_stored(collection, item, incarnation, removed=False) for item in page['items']],
+                _store_revision(incarnation, page),
                 more=bool(page.get('hasMore')),
-                incarnation=_incarnation(header_by_name),
             )
         except _FORMAT_FAULTS as fault:
             return CallFailed(collection, f'page unreadable: {fault!r}')
@@ -130,12 +129,11 @@
             if status != _OK:
                 return CallFailed(collection, f'the store answered {status}')
             answer = decode_body(body)
-            objects = [_changed(collection, event) for event in answer.get('events') or ()]
+            changes = answer.get('events') or ()
             return ChangesRead(
                 collection,
-                objects,
-                int(answer['storeRevision']),
-                incarnation=incarnation,
+                [_changed(collection, change, incarnation) for change in changes],
+                _store_revision(incarnation, answer),
             )
         except _FORMAT_FAULTS as fault:
             return CallFailed(collection, f'changes unreadable: {fault!r}')
@@ -145,28 +143,36 @@
     """Return which incarnation of the store answered.  Raises FieldError."""
     told = header_by_name.get(_INCARNATION_KEY, '0')
     digits = told.strip()
-    if not digits.isascii() or not digits.isdecimal() or len(digits) > _MOST_INCARNATION_DIGITS:
+    if not digits.isascii() or not digits.isdecimal():
         raise FieldError(INCARNATION_HEADER, told, 'a whole number')
-    return int(digits)
+    return whole_number(INCARNATION_HEADER, int(digits), most=MOST_INCARNATION)
+
+
+def _store_revision(incarnation: int, answer: Any) -> int:
+    """Return up to where an answer tells.  Raises FieldError."""
+    number = int(answer['storeRevision'])
+    return revision_of(incarnation, whole_number('storeRevision', number))
 
 
-def _changed(collection: str, event: Any) -> StoredObject:
+def _changed(collection: str, change: Any, incarnation: int) -> StoredObject:
     """Return the object of a change."""
-    if not isinstance(event, dict):
+    if not isinstance(change, dict):
         return StoredObject('', 0, Unreadable('a change that is no table'))
-    return _stored(collection, event.get('object'), removed=event.get('tombstone') is True)
+    removed = change.get('tombstone') is True
+    return _stored(collection, change.get('object'), incarnation, removed=removed)
 
 
-def _stored(collection: str, item: Any, *, removed: bool) -> StoredObject:
+def _stored(collection: str, item: Any, incarnation: int, *, removed: bool) -> StoredObject:
     """Return an object; one whose content is unreadable is marked so.
 
     One whose name or revision cannot be read has neither.
     """
     try:
         name = label('name', item['meta']['name'])
-        revision = whole_number('revision', item['meta']['revision'])
+        number = whole_number('revision', item['meta']['revision'])
     except _FORMAT_FAULTS as fault:
         return StoredObject('', 0, Unreadable(repr(fault)))
+    revision = revision_of(incarnation, number)
     if removed:
         return StoredObject(name, revision, None)
     if collection == Collection.EVACUATIONS:
@@ -189,7 +195,7 @@
     limits = spec.get('limits') or {}
     idle_ms = int(limits.get('idleTimeoutMs') or _DEFAULT_IDLE_MS)
     return RoutingText(
-        int(spec['version']),
+        whole_number('version', int(spec['version'])),
         revision,
         route_by_key,
         idle_ms / _MS,
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -89,7 +89,7 @@
     fetches_elsewhere: int = 0
     watch_by_collection: dict[str, '_Watch'] = field(default_factory=dict)
     lines: Counter[int] = field(default_factory=Counter)
-    revisions: list[int] = field(default_factory=list)
+    text_orders: list[int] = field(default_factory=list)
     then_by_packet: dict[FlowPacket, _Then] = field(default_factory=dict)
     resumes_at: float = 0
 
@@ -161,7 +161,7 @@
         node = self.node_by_name[name]
         node.boot += 1
         node.up = True
-        node.revisions.clear()
+        node.text_orders.clear()
         node.then_by_packet.clear()
         node.state = self._fresh(node.me)
         node.steering = _steering(node.state, self._policies)
@@ -238,7 +238,7 @@
             return
         for effect in reduce(node.state, event, self.now):
             self._handlers[type(effect)](node, effect)
-        node.revisions.append(node.state.text_revision)
+        node.text_orders.append(node.state.text_order)
         self._resume(node, boot)
 
     def _read_page(self, node: RoutingNode, effect: ReadPage) -> None:
--- a/src/bronzekeel/replay/routing_store.py
+++ b/src/bronzekeel/replay/routing_store.py
@@ -11,6 +11,7 @@
     StoredObject,
 )
 from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.revisions import incarnation_of, number_of, revision_of
 
 
 _Make = Callable[[int], Content]
@@ -20,6 +21,7 @@
 class _Change:
     collection: Collection
     stored: StoredObject
+    make: _Make | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,17 +31,21 @@
     revision: int
     by_collection: dict[Collection, dict[str, StoredObject]]
     make_by_place: dict[tuple[Collection, str], _Make]
+    history: list[_Change]
+    all_changes: list[_Change]
 
 
 @dataclass(slots=True)
 class StoreModel:
     """Hold what the store has, and how it got there; stale reads are `stale_by_s` behind.
 
-    Its `incarnation` rises when it comes back from a copy.
+    `writes` counts all that were ever made, also those that a restore lost.
+    Watches are answered by the store's own numbers, as a real store does, also if they began in a
+    former incarnation.
     """
 
-    revision: int = 0
-    incarnation: int = 1
+    revision: int = revision_of(1, 0)
+    writes: int = 0
     by_collection: dict[Collection, dict[str, StoredObject]] = field(
         default_factory=lambda: {collection: {} for collection in Collection},
     )
@@ -50,13 +56,19 @@
     _all_changes: list[_Change] = field(default_factory=list)
     _history_from: int = 0
 
+    @property
+    def incarnation(self) -> int:
+        """Which incarnation this is; it rises when the store comes back from a copy."""
+        return incarnation_of(self.revision)
+
     def put(self, collection: Collection, name: str, make: _Make) -> int:
         """Write an object; `make` gets the revision.  Return the revision."""
         self.revision += 1
+        self.writes += 1
         self._make_by_place[collection, name] = make
         stored = StoredObject(name, self.revision, make(self.revision))
         self.by_collection[collection][name] = stored
-        self._note(collection, stored)
+        self._note(collection, stored, make)
         return self.revision
 
     def remove(self, collection: Collection, name: str) -> None:
@@ -64,7 +76,8 @@
         if self.by_collection[collection].pop(name, None) is None:
             return
         self.revision += 1
-        self._note(collection, StoredObject(name, self.revision, None))
+        self.writes += 1
+        self._note(collection, StoredObject(name, self.revision, None), None)
 
     def note_told(self, now: float) -> None:
         """Note that watches see all changes until here."""
@@ -80,26 +93,35 @@
     def compact(self) -> None:
         """Forget the history."""
         self._history.clear()
-        self._history_from = self.revision
+        self._history_from = number_of(self.revision)
 
     def copy(self) -> StoreCopy:
         """Return a copy of all there is, to be restored later."""
         by_collection = {kind: by_name.copy() for kind, by_name in self.by_collection.items()}
-        return StoreCopy(self.revision, by_collection, self._make_by_place.copy())
+        return StoreCopy(
+            self.revision,
+            by_collection,
+            self._make_by_place.copy(),
+            self._history.copy(),
+            self._all_changes.copy(),
+        )
 
     def restore(self, copy: StoreCopy) -> None:
         """Come back from a copy: what was written since is lost, and revisions count on from there.
 
         Stale reads see the copy at once.
         """
-        self.incarnation += 1
-        self.revision = copy.revision
-        self.by_collection = {kind: by_name.copy() for kind, by_name in copy.by_collection.items()}
+        self.revision = revision_of(self.incarnation + 1, number_of(copy.revision))
         self._make_by_place = copy.make_by_place.copy()
-        self._history = _until(self._history, copy.revision)
-        self._all_changes = _until(self._all_changes, copy.revision)
-        self._history_from = min(self._history_from, copy.revision)
-        self._told = [(0, copy.revision)]
+        for collection, by_name in copy.by_collection.items():
+            self.by_collection[collection] = {
+                name: self._made_anew(stored, copy.make_by_place[collection, name])
+                for name, stored in by_name.items()
+            }
+        self._history = [self._told_anew(change) for change in copy.history]
+        self._all_changes = [self._told_anew(change) for change in copy.all_changes]
+        self._history_from = min(self._history_from, number_of(copy.revision))
+        self._told = [(0, self.revision)]
 
     def write_again(self, lost: StoreCopy) -> None:
         """Let owners write what was lost, and remove what they had removed."""
@@ -125,7 +147,6 @@
             objects,
             revision,
             more=False,
-            incarnation=self.incarnation,
         )
 
     def changes(
@@ -135,8 +156,9 @@
         until: int | None = None,
     ) -> ChangesRead | HistoryLost:
         """Return what changed after a revision, up to another if one is given."""
-        if not self._history_from <= since <= self.revision:
+        if not self._history_from <= number_of(since) <= number_of(self.revision):
             return HistoryLost(collection, self.incarnation)
+        since = self._given_out_anew(since)
         revision = self.revision if until is None else until
         objects = [
             change.stored
@@ -147,15 +169,23 @@
             collection,
             objects,
             max(since, revision),
-            incarnation=self.incarnation,
         )
 
-    def _note(self, collection: Collection, stored: StoredObject) -> None:
-        change = _Change(collection, stored)
+    def _note(self, collection: Collection, stored: StoredObject, make: _Make | None) -> None:
+        change = _Change(collection, stored, make)
         self._history.append(change)
         self._all_changes.append(change)
 
+    def _given_out_anew(self, revision: int) -> int:
+        """Return a revision of any incarnation as this one gives out its number."""
+        return revision_of(self.incarnation, number_of(revision))
+
+    def _made_anew(self, stored: StoredObject, make: _Make | None) -> StoredObject:
+        """Return an object of a copy as this incarnation tells it."""
+        revision = self._given_out_anew(stored.revision)
+        return StoredObject(stored.name, revision, make(revision) if make else None)
 
-def _until(changes: list[_Change], revision: int) -> list[_Change]:
-    """Return the changes up to a revision."""
-    return [change for change in changes if change.stored.revision <= revision]
+    def _told_anew(self, change: _Change) -> _Change:
+        """Return a change of a copy as this incarnation tells it."""
+        stored = self._made_anew(change.stored, change.make)
+        return _Change(change.collection, stored, change.make)
--- a/tests/routing_cases.py
+++ b/tests/routing_cases.py
@@ -17,6 +17,7 @@
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.placement import LeastBusy
 from bronzekeel.core.routing.reducer import reduce
+from bronzekeel.core.routing.revisions import number_of
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Deliver, Verdict, Wait
@@ -60,10 +61,14 @@
     return Route(key, (ServiceShare(service, 1),), seal_of(key), priority, timeout_s)
 
 
-def text(revision: int, *routes: Route) -> RoutingText:
-    """Return a text; without routes both services have theirs."""
+def text(revision: int, *routes: Route, generation: int = 0) -> RoutingText:
+    """Return a text; without routes both services have theirs.
+
+    Where nothing else is said, operators number their texts as the store does.
+    """
     listed = routes or (route(PORTAL_KEY, PORTAL), route(INTAKE_KEY, INTAKE))
-    return RoutingText(revision, revision, {item.key: item for item in listed}, 15)
+    number = generation or number_of(revision)
+    return RoutingText(number, revision, {item.key: item for item in listed}, 15)
 
 
 def page(collection: Collection, *listed: RoutingText | UpstreamEntry) -> PageRead:
@@ -191,6 +196,11 @@
 
 def put_text(fleet: RoutingFleet, *routes: Route) -> int:
     """Write a text; return its revision."""
-    revision = fleet.store.put(Collection.TEXT, 'main', lambda made_at: text(made_at, *routes))
+    generation = fleet.store.writes + 1
+    revision = fleet.store.put(
+        Collection.TEXT,
+        'main',
+        lambda made_at: text(made_at, *routes, generation=generation),
+    )
     fleet.tell_watches()
     return revision
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -252,6 +252,8 @@
         """Start with a store that has nothing evacuated."""
         self.store = StoreModel()
         self.truth_by_revision: dict[int, frozenset[str]] = {0: frozenset()}
+        self.truth_by_revision[self.store.revision] = frozenset()
+        self.copies = [self.store.copy()]
         self.states = [fresh_state(f'h{number}') for number in range(_HOSTS)]
         self.seen = [0 for _ in self.states]
         self.kept_heartbeats: list[Heartbeat] = []
@@ -273,6 +275,18 @@
         standing = frozenset(self.store.by_collection[Collection.EVACUATIONS])
         self.truth_by_revision[self.store.revision] = standing
 
+    @rule()
+    def keep_copy(self) -> None:
+        """Make a copy of the store."""
+        self.copies.append(self.store.copy())
+
+    @rule(index=st.integers(0, 10))
+    def restore(self, index: int) -> None:
+        """Let the store come back from a copy."""
+        self.store.restore(self.copies[index % len(self.copies)])
+        standing = frozenset(self.store.by_collection[Collection.EVACUATIONS])
+        self.truth_by_revision[self.store.revision] = standing
+
     @rule(host=_HOST)
     def read_page(self, host: int) -> None:
         """Let a host list what stands."""
@@ -285,6 +299,7 @@
         """Let a host's watch answer."""
         follower = self.states[host].follower_by_collection[Collection.EVACUATIONS]
         if follower.listed:
+            follower.resume()
             self._answer(host, self.store.changes(Collection.EVACUATIONS, follower.revision))
 
     @rule(teller=_HOST, host=_HOST)
@@ -441,7 +456,7 @@
         Cause: it is newer than every other.
         """
         raw = encode_heartbeat(near_heartbeat(ready_state(entry(1)), 1))
-        broken = raw.replace(b'"evacuated":[0,', b'"evacuated":[1e400,')
+        broken = raw.replace(b'"evacuated":[[0,0],', b'"evacuated":[[0,1e400],')
         self.assertNotEqual(raw, broken)
         with self.assertRaises(MessageError):
             decode_heartbeat(broken)
--- a/tests/test_fault_pairs.py
+++ b/tests/test_fault_pairs.py
@@ -16,6 +16,7 @@
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.verdicts import Reset
 from bronzekeel.replay.routing_fleet import RoutingFleet
+from bronzekeel.replay.routing_store import StoreCopy
 from tests.routing_cases import asking, entry, fleet_of, id_given, opening, put_text, put_upstream
 
 
@@ -70,6 +71,28 @@
     fleet.store.compact()
 
 
+def _restore_store(fleet: RoutingFleet) -> None:
+    """Lose all that is written from now on, and get it again from who wrote it."""
+    names = list(fleet.node_by_name)
+    copy = fleet.store.copy()
+    put_text(fleet)
+    put_upstream(fleet, 1)
+    fleet.at(1, lambda: fleet.lose_store(names, 'refuses'))
+    fleet.at(2, lambda: _come_back(fleet, copy))
+
+
+def _come_back(fleet: RoutingFleet, copy: StoreCopy) -> None:
+    lost = fleet.store.copy()
+    fleet.store.restore(copy)
+    fleet.lose_store(list(fleet.node_by_name), 'serves')
+    fleet.at(0.8, lambda: _write_again(fleet, lost))
+
+
+def _write_again(fleet: RoutingFleet, lost: StoreCopy) -> None:
+    fleet.store.write_again(lost)
+    fleet.tell_watches()
+
+
 def _change_texts(fleet: RoutingFleet) -> None:
     for step in range(8):
         fleet.at(step * 0.4, partial(put_text, fleet))
@@ -101,6 +124,7 @@
     _refuse_some,
     _silence_some,
     _compact,
+    _restore_store,
     _change_texts,
     _drain_one,
     _lapse_and_return,
@@ -161,6 +185,6 @@
             self.assertTrue(node.state.ready, node.me.name)
             self.assertTrue(node.state.is_current(fleet.now), node.me.name)
             self.assertEqual(newest, node.state.text_revision, node.me.name)
-            self.assertEqual(sorted(node.revisions), node.revisions, node.me.name)
+            self.assertEqual(sorted(node.text_orders), node.text_orders, node.me.name)
             known = node.state.directory.by_name.items()
             self.assertEqual(listed, {name for name, upstream in known if upstream.listed})
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -314,7 +314,7 @@
         revisions = {node.state.text_revision for node in fleet.running}
         self.assertEqual({newest}, revisions)
         for node in fleet.running:
-            self.assertEqual(sorted(node.revisions), node.revisions)
+            self.assertEqual(sorted(node.text_orders), node.text_orders)
 
 
 class PauseTest(TestCase):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,6 +20,7 @@
     Unreadable,
 )
 from bronzekeel.core.routing.model import FlowPacket, RoutingText, Upstream, UpstreamEntry
+from bronzekeel.core.routing.revisions import incarnation_of, revision_of, text_order_of
 from bronzekeel.entry.peer_messages import (
     MessageError,
     decode_heartbeat,
@@ -34,9 +35,11 @@
 from tests.routing_cases import INTAKE_KEY, PORTAL_KEY, entry, ready_state, route, text
 from bronzekeel.core.routing.messages import (
     Allowance,
+    Evacuated,
     FlowShare,
     Heartbeat,
     Known,
+    MissingEntry,
     PeerAddress,
     View,
 )
@@ -101,6 +104,15 @@
     return {'meta': meta, 'spec': plain, 'status': None}
 
 
+def incarnation_told(event: Event) -> int | None:
+    """Return which incarnation of the store an answer is from."""
+    if isinstance(event, HistoryLost):
+        return event.incarnation
+    if isinstance(event, PageRead | ChangesRead):
+        return incarnation_of(event.revision)
+    return None
+
+
 def read_page(collection: str, *items: dict[str, Any], more: bool = False) -> Event:
     """Return what a page of items tells."""
     body = {'items': items, 'hasMore': more, 'storeRevision': 530}
@@ -273,7 +285,7 @@
                 _STORE.read_changes('text', 410, b'', headers),
             )
             for event in told:
-                self.assertEqual(incarnation, getattr(event, 'incarnation', None), event)
+                self.assertEqual(incarnation, incarnation_told(event), event)
 
     def test_an_unreadable_incarnation_fails_the_call(self) -> None:
         """An answer that does not say clearly where it is from is not believed."""
@@ -346,7 +358,7 @@
         heartbeat = Heartbeat(me, 7, 8, {3: 2}, (me,), direct=True, stopping=True)
         back = decode_heartbeat(encode_heartbeat(heartbeat))
         self.assertEqual(
-            (7, 8, {3: 2}), (back.text_revision, back.upstreams_revision, back.busy_by_number)
+            (7, 8, {3: 2}), (back.text_order, back.upstreams_revision, back.busy_by_number)
         )
         self.assertEqual((True, False, True), (back.direct, back.lost, back.stopping))
         self.assertIsNone(back.shares)
@@ -361,6 +373,30 @@
             self.fail('no text')
         self.assertEqual(state.text_revision, view.text.revision)
 
+    def test_revisions_come_back_with_their_incarnation(self) -> None:
+        """What orders texts, entries and evacuations is the same on all hosts."""
+        me = PeerAddress('a1', 'dc-a', ('10.1.0.1', 9))
+        told = Heartbeat(
+            me,
+            text_order_of(17, revision_of(2, 14)),
+            revision_of(2, 15),
+            {},
+            evacuated=Evacuated(revision_of(2, 16), frozenset(('dc-b',))),
+        )
+        back = decode_heartbeat(encode_heartbeat(told))
+        self.assertEqual(told.text_order, back.text_order)
+        self.assertEqual(told.upstreams_revision, back.upstreams_revision)
+        self.assertEqual(told.evacuated.as_of, back.evacuated.as_of)
+        entries = [entry(1, revision=revision_of(3, 1))]
+        missing = [MissingEntry(entry(2), revision_of(3, 2), 1, left=False)]
+        sent = View(text(revision_of(3, 4)), revision_of(3, 5), entries, missing, revision_of(3, 6))
+        view = decode_view(encode_view(sent))
+        self.assertEqual(text(revision_of(3, 4)).order, view.text.order if view.text else 0)
+        self.assertEqual(sent.text_followed, view.text_followed)
+        self.assertEqual(sent.upstreams_followed, view.upstreams_followed)
+        self.assertEqual(entries[0].revision, view.entries[0].revision)
+        self.assertEqual(missing[0].revision, view.missing[0].revision)
+
     def test_rates_and_shares_come_back_as_they_were(self) -> None:
         """What a data centre asks for, and where its flows go."""
         me = PeerAddress('a1', 'dc-a', ('10.1.0.1', 9))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,15 +3,35 @@
 from unittest import TestCase
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.effects import Effect, WriteLine
-from bronzekeel.core.routing.events import ChangesRead, HistoryLost, PageRead, StoredObject
+from bronzekeel.core.routing.directory import RETURN_GRACE_S
+from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges, WriteLine
+from bronzekeel.core.routing.events import (
+    ChangesRead,
+    HistoryLost,
+    PageRead,
+    StoredObject,
+    Ticked,
+    ViewFetched,
+)
 from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.messages import Known
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.core.routing.reducer import reduce
+from bronzekeel.core.routing.revisions import revision_of
+from bronzekeel.core.routing.sharing import view_since
+from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.store_waits import FIRST_WAIT_S
 from bronzekeel.replay.routing_fleet import RoutingFleet
 from bronzekeel.replay.routing_store import StoreCopy
-from tests.routing_cases import entry, fleet_of, put_upstream, ready_state, text
+from tests.routing_cases import (
+    entry,
+    fleet_of,
+    fresh_state,
+    page,
+    put_upstream,
+    ready_state,
+    text,
+)
 
 
 def lines_of(effects: list[Effect], number: LogNumber) -> list[WriteLine]:
@@ -29,8 +49,8 @@
         state = ready_state(entry(1))
         answers = (
             HistoryLost(Collection.UPSTREAMS, 3),
-            PageRead(Collection.UPSTREAMS, [], 40, more=False, incarnation=3),
-            ChangesRead(Collection.TEXT, [], 40, incarnation=3),
+            PageRead(Collection.UPSTREAMS, [], revision_of(3, 40), more=False),
+            ChangesRead(Collection.TEXT, [], revision_of(3, 40)),
         )
         told = []
         for answer in answers:
@@ -70,7 +90,7 @@
     fleet.store.put(
         Collection.TEXT,
         'main',
-        lambda revision: RoutingText(generation, revision, text(1).route_by_key, 15),
+        lambda revision: text(revision, generation=generation),
     )
     fleet.tell_watches()
 
@@ -99,7 +119,12 @@
     def test_texts_accepted_after_a_restore_are_in_force(self) -> None:
         """Requests were handled by a text that had been replaced more than three seconds before.
 
-        The store had been away for two seconds.  From then on hosts left out each new text.
+        The store had been away for two seconds and had come back from a copy, so its revisions
+        began again below those that hosts knew.  They ordered texts by revision alone: the next
+        two counted as older, and the third, whose revision was that of the text in force, as the
+        same.  What settled it: text_older, generation 17, revision 14, in_force 18, of a
+        generation that had been revision 18 before; then generation 20, revision 16, and
+        generation 22, revision 17; of generation 26 there was no line.
         """
         fleet = fleet_of(3)
         put_generation(fleet, 5)
@@ -115,13 +140,20 @@
             self.assertEqual({generation}, generations(fleet))
 
     def test_no_text_is_taken_back_by_a_restore(self) -> None:
-        """A restored store shows an old text until the operators write theirs again."""
+        """A restored store shows an old text until the operators write theirs again.
+
+        It is the newest word of the store, and older by the operators' own number.
+        """
         fleet = fleet_of(3)
         put_generation(fleet, 5)
         copy = fleet.store.copy()
         put_generation(fleet, 8)
         fleet.run(1)
+        names = list(fleet.node_by_name)
+        fleet.lose_store(names, 'refuses')
+        fleet.run(1)
         fleet.store.restore(copy)
+        fleet.lose_store(names, 'serves')
         for _ in range(50):
             fleet.run(0.1)
             self.assertEqual({8}, generations(fleet))
@@ -130,7 +162,10 @@
         self.assertEqual({9}, generations(fleet))
 
     def test_a_leaving_accepted_after_a_restore_is_known(self) -> None:
-        """An upstream that left after the store's return got new flows for seconds more."""
+        """An upstream that left after the store's return got new flows for seconds more.
+
+        Its entry had a larger revision before the restore than its leaving after it.
+        """
         fleet = fleet_of(3, ('dc-a',))
         put_upstream(fleet, 2)
         fleet.run(1)
@@ -193,8 +228,9 @@
     def test_a_lost_history_is_not_asked_for_without_a_pause(self) -> None:
         """Each host made a hundred calls a second until the store's revisions had passed its own.
 
-        Every watch was told that its history is gone, and every list was followed by such a
-        watch at once.
+        Every watch was told that its history is gone, since it began at a revision that the
+        restored store did not have; the list that followed told a smaller one, which was left
+        out, and the next watch began where the last had.
         """
         fleet = fleet_of(1, ('dc-a',))
         node = fleet.node_by_name['dc-a-1']
@@ -207,3 +243,116 @@
         calls = node.calls
         fleet.run(_BOUND_S)
         self.assertLessEqual(node.calls - calls, _BOUND_S * len(Collection) / FIRST_WAIT_S)
+
+
+#: An incarnation of the store, and the one after its next restore.
+_FIRST = 1
+_SECOND = 2
+
+
+def known_state(*numbers: int) -> RoutingState:
+    """Return a ready state that knows these upstreams from the first incarnation."""
+    state = fresh_state()
+    entries = [entry(number, revision=revision_of(_FIRST, number)) for number in numbers]
+    reduce(state, page(Collection.TEXT, text(revision_of(_FIRST, 1))), 0)
+    reduce(state, page(Collection.UPSTREAMS, *entries), 0)
+    reduce(state, PageRead(Collection.EVACUATIONS, [], revision_of(_FIRST, 1), more=False), 0)
+    reduce(state, Ticked(), 1)
+    return state
+
+
+def page_of_copy(*numbers: int, more: bool = False) -> PageRead:
+    """Return a page of upstreams of the second incarnation."""
+    entries = [entry(number, revision=revision_of(_SECOND, number)) for number in numbers]
+    objects = [StoredObject(listed.name, listed.revision, listed) for listed in entries]
+    return PageRead(Collection.UPSTREAMS, objects, revision_of(_SECOND, 9), more=more)
+
+
+def changes(collection: Collection, incarnation: int, *objects: StoredObject) -> ChangesRead:
+    """Return the answer to a watch."""
+    return ChangesRead(collection, list(objects), revision_of(incarnation, 9))
+
+
+class AnswerTest(TestCase):
+    """Answers of one incarnation to a host that knows another."""
+
+    def test_entries_that_a_restore_lost_get_time(self) -> None:
+        """An upstream that joined after the copy was made writes its entry again."""
+        state = known_state(1, 2)
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        reduce(state, page_of_copy(1), 2)
+        joined = state.directory.by_name[entry(2).name]
+        self.assertFalse(joined.listed)
+        self.assertFalse(joined.is_gone(2 + RETURN_GRACE_S / 2))
+        self.assertTrue(joined.is_gone(2 + RETURN_GRACE_S))
+
+    def test_a_watch_of_a_former_incarnation_tells_nothing(self) -> None:
+        """The store answers a watch by its number, which means something else since the restore."""
+        state = known_state(1, 2)
+        other = StoredObject(entry(3).name, revision_of(_SECOND, 9), entry(3, revision=9))
+        effects = reduce(state, changes(Collection.UPSTREAMS, _SECOND, other), 2)
+        self.assertEqual([''], [effect.after for effect in effects if isinstance(effect, ReadPage)])
+        self.assertFalse(state.is_direct(2))
+
+    def test_one_answer_of_a_restored_store_renews_all_watches(self) -> None:
+        """A watch that began before a restore waits for a number that is yet to be given out."""
+        state = known_state(1, 2)
+        reduce(state, changes(Collection.TEXT, _SECOND), 2)
+        renewed = [
+            effect.collection
+            for effect in reduce(state, Ticked(), 2.1)
+            if isinstance(effect, WatchChanges)
+        ]
+        self.assertEqual({Collection.UPSTREAMS, Collection.EVACUATIONS}, set(renewed))
+
+    def test_an_answer_from_before_the_restore_is_left_out(self) -> None:
+        """A copy of the store that is behind answers a host that knows of the restore."""
+        state = known_state(1, 2)
+        state.follower_by_collection[Collection.TEXT].begin_listing()
+        restored = page(Collection.TEXT, text(revision_of(_SECOND, 2), generation=5))
+        reduce(state, restored, 2)
+        left = StoredObject(entry(2).name, revision_of(_FIRST, 9), None)
+        effects = reduce(state, changes(Collection.UPSTREAMS, _FIRST, left), 2.1)
+        self.assertTrue(state.directory.by_name[entry(2).name].listed)
+        self.assertFalse([item for item in effects if isinstance(item, WatchChanges | ReadPage)])
+        self.assertTrue(state.is_lost)
+
+    def test_a_listing_that_a_restore_broke_begins_anew(self) -> None:
+        """The first page is of the store before its restore, the second of the one after it."""
+        state = known_state(1, 2)
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        first = entry(1, revision=revision_of(_FIRST, 1))
+        before = StoredObject(first.name, first.revision, first)
+        pages = PageRead(Collection.UPSTREAMS, [before], revision_of(_FIRST, 9), more=True)
+        reduce(state, pages, 2)
+        effects = reduce(state, page_of_copy(2), 2.1)
+        self.assertEqual([''], [effect.after for effect in effects if isinstance(effect, ReadPage)])
+        self.assertTrue(state.directory.by_name[entry(1).name].listed)
+
+
+class ViewTest(TestCase):
+    """What hosts tell each other of a restored store."""
+
+    def test_a_view_of_a_restored_store_is_whole(self) -> None:
+        """A host at a former incarnation has to hear what the store lost, which has no revision.
+
+        The peer that tells it started after the restore and never knew of it.
+        """
+        teller = fresh_state('b1')
+        reduce(teller, page(Collection.TEXT, text(revision_of(_SECOND, 3))), 0)
+        reduce(teller, page_of_copy(1, 4), 0)
+        asker = known_state(1, 2)
+        known = Known(asker.text_order, asker.directory.newest_revision, 0)
+        reduce(asker, ViewFetched(('b1', 9), view_since(teller, known, 1)), 1)
+        listed = {name for name, upstream in asker.directory.by_name.items() if upstream.listed}
+        self.assertEqual({entry(1).name, entry(4).name}, listed)
+        self.assertFalse(asker.directory.by_name[entry(2).name].is_gone(1 + RETURN_GRACE_S / 2))
+
+    def test_what_is_still_listed_is_not_taken_for_lost(self) -> None:
+        """An entry that the teller goes by from before the restore is told with the others."""
+        teller = known_state(1, 2)
+        teller.directory.account_for(revision_of(_SECOND, 9))
+        asker = known_state(1, 2)
+        known = Known(asker.text_order, asker.directory.newest_revision, 0)
+        reduce(asker, ViewFetched(('b1', 9), view_since(teller, known, 1)), 1)
+        self.assertEqual(2, asker.directory.listed_count)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -276,7 +276,7 @@
         fleet.run(2 * WATCH_S)
         for node in fleet.running:
             self.assertEqual(newest, node.state.text_revision)
-            self.assertEqual(sorted(node.revisions), node.revisions)
+            self.assertEqual(sorted(node.text_orders), node.text_orders)
 
     def test_all_hosts_start_while_the_store_is_away(self) -> None:
         """With nobody who knows, all wait, and serve when the store is back."""
@@ -375,7 +375,7 @@
     def test_only_what_is_new_is_told(self) -> None:
         """A view holds what changed after the asker's revisions."""
         state = ready_state(entry(1), entry(2), entry(3))
-        view = view_since(state, Known(state.text_revision, 2, 2), 1)
+        view = view_since(state, Known(state.text_order, 2, 2), 1)
         self.assertIsNone(view.text)
         self.assertEqual([entry(3).name], [told.name for told in view.entries])
 
--- a/tests/test_view_model.py
+++ b/tests/test_view_model.py
@@ -1,6 +1,7 @@
 """Search for a course of events that takes a balancer's view back."""
 
 from unittest import TestCase
+from unittest.mock import patch
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -49,6 +50,7 @@
         self.seen: list[dict[str, int]] = [{} for _ in self.states]
         self.kept_answers = [self.store.page(collection) for collection in _VIEWED]
         self.kept_views: list[View] = []
+        self.copies = [self.store.copy()]
 
     def fresh(self, host: int) -> RoutingState:
         """Return the state of a host that has just started."""
@@ -58,8 +60,14 @@
 
     @rule()
     def change_text(self) -> None:
-        """Accept a new text."""
-        self.store.put(Collection.TEXT, 'main', text)
+        """Accept a new text; the store is copied just before."""
+        self.copies.append(self.store.copy())
+        generation = self.store.writes + 1
+        self.store.put(
+            Collection.TEXT,
+            'main',
+            lambda revision: text(revision, generation=generation),
+        )
 
     @rule(number=_UPSTREAMS, draining=st.booleans())
     def change_entry(self, number: int, draining: bool) -> None:  # noqa: FBT001
@@ -80,9 +88,16 @@
         """Forget the store's history."""
         self.store.compact()
 
+    @rule(host=_HOSTS, age=st.integers(1, 4))
+    def restore(self, host: int, age: int) -> None:
+        """Let the store come back from a copy that is some texts old, and a host hear of it."""
+        self.store.restore(self.copies[-min(age, len(self.copies))])
+        self.read_page(host, Collection.TEXT)
+
     @rule(host=_HOSTS, collection=st.sampled_from(_VIEWED))
     def read_page(self, host: int, collection: Collection) -> None:
         """Let a host list a collection, and keep the answer for later."""
+        self.states[host].follower_by_collection[collection].begin_listing()
         answer = self.store.page(collection)
         self.kept_answers.append(answer)
         self._take(host, answer)
@@ -92,6 +107,7 @@
         """Let a host's watch answer."""
         follower = self.states[host].follower_by_collection[collection]
         if follower.listed:
+            follower.resume()
             self._take(host, self.store.changes(collection, follower.revision))
 
     @rule(host=_HOSTS, index=st.integers(0, 40))
@@ -126,7 +142,7 @@
 
     @invariant()
     def nothing_goes_back(self) -> None:
-        """No revision that a host knows is less than it was."""
+        """No generation or revision that a host knows is less than it was."""
         for state, seen in zip(self.states, self.seen, strict=True):
             for name, revision in _known(state).items():
                 assert revision >= seen.get(name, 0), (name, revision, seen[name])
@@ -146,8 +162,8 @@
 
 
 def _known(state: RoutingState) -> dict[str, int]:
-    """Return the newest revision that a host goes by, for the text and each entry."""
-    known = {'main': state.text_revision}
+    """Return the generation of the text that a host goes by, and the revision of each entry."""
+    known = {'main': state.text.generation if state.text else 0}
     for name, upstream in state.directory.by_name.items():
         known[name] = upstream.entry.revision
         if not upstream.listed:
@@ -159,7 +175,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=80,
+    max_examples=300,
     stateful_step_count=30,
 )
 Views.TestCase.settings = _SEARCH
@@ -183,3 +199,16 @@
         """
         with self.assertRaises(AssertionError):
             run_state_machine_as_test(_UnorderedViews, settings=_SEARCH)
+
+    def test_by_revisions_alone_a_restore_takes_texts_back(self) -> None:
+        """Texts that are ordered by the store alone go back with it.
+
+        The search lets a host read a text, restores a copy of the store from before it, and lets
+        the host list anew.
+        """
+        by_revision = patch(
+            'bronzekeel.core.routing.model.text_order_of',
+            lambda generation, revision: revision,
+        )
+        with by_revision, self.assertRaises(AssertionError):
+            run_state_machine_as_test(Views, settings=_SEARCH)
