Pause between lists when a store can go on with no watch

Cause: a watch that is told that its history is gone is followed by a list, the list by a watch, with nothing between that waits; whatever makes a store refuse each watch (revisions that went back, history that is dropped at once, a copy that is behind the list) makes a storm. Change: the first list after a lost history is made at once, further ones with the waits of failed calls, until a watch is answered again; meanwhile nothing counts as current.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
-from bronzekeel.core.routing.revisions import incarnation_of
+from bronzekeel.core.routing.revisions import incarnation_of, is_same_incarnation
 from bronzekeel.core.store_waits import ANSWER_S, PROVING_WATCH_S, WATCH_S, retry_wait_s
 
 
@@ -49,7 +49,8 @@
     At `current_until` the last answer no longer proves that the view is current; at
     `doubtful_at` the watch must have told what a peer has told.  The listing in progress
     `has_gaps` when objects of it have no name that can be read.  Until `rests_until` no call is
-    made; `stale` tells that the last one was.
+    made; `stale` tells that the last one was.  `relistings` counts the lists that were needed
+    since a watch was last answered; the next call `must_list` when no watch can go on.
     """
 
     __slots__ = (
@@ -64,7 +65,9 @@
         'listed',
         'listing_revision',
         'lost',
+        'must_list',
         'paused',
+        'relistings',
         'rests_until',
         'retry_at',
         'revision',
@@ -85,7 +88,9 @@
         self.listed = False
         self.listing_revision: int | None = None
         self.lost = False
+        self.must_list = False
         self.paused = False
+        self.relistings = 0
         self.rests_until: float | None = None
         self.retry_at: float | None = None
         self.revision = 0
@@ -164,14 +169,30 @@
         self.retry_at = None
         self.rests_until = None
         self.doubtful_at = None
+        self.must_list = False
         self.stale = not self.listed and not self.failures
         return ReadPage(self.collection, '', stale=self.stale)
 
+    def relist(self, now: float) -> list[Effect]:
+        """List anew, since the watch cannot go on: at once, or later if the last list was in vain.
+
+        What goes wrong without the pause: a store that can go on with no watch answers each at
+        once, and each host calls it a hundred times a second.  Until the list is read nothing
+        proves that the view is current.
+        """
+        self.doubt(now)
+        self.relistings += 1
+        if self.relistings == 1:
+            return [self.begin_listing()]
+        self.must_list = True
+        self.retry_at = now + self._wait_s(self.relistings - 1)
+        return []
+
     def is_page_of_listing(self, revision: int) -> bool:
         """Whether a page read at `revision` fits those that were read before it."""
         if self.listing_revision is None:
             return True
-        return incarnation_of(revision) == incarnation_of(self.listing_revision)
+        return is_same_incarnation(revision, self.listing_revision)
 
     def next_page(self, names: list[str], revision: int) -> Effect:
         """Ask for the page after one with `names`."""
@@ -216,8 +237,7 @@
         self.lost = True
         self.doubtful_at = None
         self.rests_until = None
-        caller = f'{self._host}/{self.collection}'
-        self.retry_at = now + retry_wait_s(self.failures, caller, known=self.listed)
+        self.retry_at = now + self._wait_s(self.failures)
 
     def resume(self, *, stale: bool = False) -> Effect:
         """Go on where a failure or a pause was, from what peers told meanwhile.
@@ -229,13 +249,12 @@
         self.doubtful_at = None
         self.rests_until = None
         self.retry_at = None
-        if self.listed:
+        if self.listed and not self.must_list:
             return self._watch(PROVING_WATCH_S, stale=stale)
         return self.begin_listing()
 
-    def is_continued_by(self, revision: int) -> bool:
-        """Whether an answer up to `revision` tells all that changed since the watch began."""
-        return incarnation_of(revision) == incarnation_of(self.watched_from)
+    def _wait_s(self, failures: int) -> float:
+        return retry_wait_s(failures, f'{self._host}/{self.collection}', known=self.listed)
 
     def _watch(self, wait_s: float, *, stale: bool) -> Effect:
         self.stale = stale
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -34,7 +34,12 @@
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
-from bronzekeel.core.routing.revisions import incarnation_of, revision_of, shown
+from bronzekeel.core.routing.revisions import (
+    incarnation_of,
+    is_same_incarnation,
+    revision_of,
+    shown,
+)
 from bronzekeel.core.routing.sharing import (
     ask_elsewhere,
     beat,
@@ -97,6 +102,7 @@
     follower.answered_at = now
     effects = _note_regained(state, follower, now)
     effects.extend(_note_incarnation(state, follower, event.revision, now))
+    # Pages of two incarnations make no whole: what joined between them would look removed.
     if not follower.is_page_of_listing(event.revision):
         return [*effects, follower.begin_listing()]
     if follower.collection is Collection.UPSTREAMS:
@@ -127,9 +133,11 @@
         return _on_failure(state, CallFailed(event.collection, _FORMER), now)
     effects = _note_regained(state, follower, now)
     effects.extend(_note_incarnation(state, follower, event.revision, now))
-    if not follower.is_continued_by(event.revision):
-        follower.doubt(now)
-        return [*effects, follower.begin_listing()]
+    # A restored store answers by the watch's number, which it has given out again: changes that
+    # are numbered below it would be missed.
+    if not is_same_incarnation(event.revision, follower.watched_from):
+        return [*effects, *follower.relist(now)]
+    follower.relistings = 0
     known = _news(state)
     for stored in event.objects:
         effects.extend(_take(state, follower, stored, now))
@@ -170,7 +178,7 @@
         collection=event.collection,
         revision=shown(follower.revision),
     )
-    return [*effects, line, follower.begin_listing()]
+    return [*effects, line, *follower.relist(now)]
 
 
 def _on_failure(state: RoutingState, event: CallFailed, now: float) -> list[Effect]:
--- a/src/bronzekeel/core/routing/revisions.py
+++ b/src/bronzekeel/core/routing/revisions.py
@@ -29,6 +29,11 @@
     return revision >> NUMBER_BITS
 
 
+def is_same_incarnation(first: int, second: int) -> bool:
+    """Whether the same incarnation gave out both revisions."""
+    return incarnation_of(first) == incarnation_of(second)
+
+
 def number_of(revision: int) -> int:
     """Return the store's own number of a revision."""
     return revision & _NUMBER_MASK
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -23,7 +23,7 @@
 from bronzekeel.core.routing.messages import View
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.stopping import REFUSALS, Stopping
-from bronzekeel.core.store_waits import MOST_WAIT_S, MOST_WAIT_UNREAD_S
+from bronzekeel.core.store_waits import FIRST_WAIT_S, MOST_WAIT_S, MOST_WAIT_UNREAD_S
 from bronzekeel.entry.loop import PauseDetector
 from tests.routing_cases import (
     PORTAL,
@@ -421,3 +421,54 @@
         self.assertEqual(1, state.stopping.refusals)
         verdict = steering(state).decide(opening(1), 1.6)
         self.assertEqual(entry(1).name, delivered_to(verdict))
+
+
+class RelistingTest(TestCase):
+    """A store that can go on with no watch."""
+
+    def test_histories_lost_in_a_row_are_listed_with_pauses(self) -> None:
+        """Hosts called the store a hundred times a second when it could go on with no watch.
+
+        Each watch was told at once that its history is gone, each list that followed was answered
+        at once, and nothing between them waited.  The recorded calls of one host: 118 a second.
+        """
+        state = ready_state(entry(1))
+        now = 10.0
+        calls = 0
+        effects = reduce(state, HistoryLost(Collection.UPSTREAMS), now)
+        while now < 20:
+            asked = [effect for effect in effects if isinstance(effect, ReadPage | WatchChanges)]
+            calls += len(asked)
+            now += 0.01
+            effects = reduce(state, Ticked(), now)
+            for effect in asked:
+                effects.extend(reduce(state, _refused(effect), now))
+        self.assertGreater(calls, 2 * 10 / (1.5 * MOST_WAIT_S))
+        self.assertLess(calls, 2 * 10 / (0.5 * FIRST_WAIT_S))
+
+    def test_a_history_lost_now_and_then_is_listed_at_once(self) -> None:
+        """One that is lost now and then delays nothing."""
+        state = ready_state(entry(1))
+        for now in range(10, 20):
+            effects = reduce(state, HistoryLost(Collection.UPSTREAMS), now)
+            self.assertEqual(1, len(of_kind(effects, ReadPage)))
+            reduce(state, page(Collection.UPSTREAMS, entry(1, revision=now)), now)
+            reduce(state, ChangesRead(Collection.UPSTREAMS, [], now), now)
+
+    def test_what_is_listed_with_pauses_proves_nothing(self) -> None:
+        """Between two lists without a watch a change may have come: nothing counts as current."""
+        state = ready_state(entry(1))
+        for collection in Collection:
+            reduce(state, ChangesRead(collection, [], 9), 10)
+        self.assertTrue(state.is_direct(10))
+        for _ in range(2):
+            reduce(state, HistoryLost(Collection.UPSTREAMS), 10)
+            self.assertFalse(state.is_direct(10))
+            reduce(state, page(Collection.UPSTREAMS, entry(1)), 10)
+
+
+def _refused(effect: Effect) -> PageRead | HistoryLost:
+    """Return the answer of a store that has no history at all."""
+    if isinstance(effect, WatchChanges):
+        return HistoryLost(effect.collection)
+    return page(Collection.UPSTREAMS, entry(1))
