Let no copy of the store take a leaving back before it has stood

What callers would see: an upstream that had announced its leaving gets new flows again while it ends, or its address does after that. Change: an entry of another incarnation that has an upstream ready which is known to leave is doubted, as that of an older start is, until it has stood for five seconds or is written again. Ways weighed: the entry's own sequence number (it rises unseen between changes, so it does not tell a copy of one that left); to believe what was known for ever (an upstream that goes on after all stays without flows). Conclusion: drains hold through a restore on hosts that knew of them; one that starts after it goes by the copy until the upstream writes again, a second or so.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -8,6 +8,7 @@
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import Upstream, UpstreamEntry
 from bronzekeel.core.routing.pools import Pool
+from bronzekeel.core.routing.revisions import is_same_incarnation
 
 
 #: Seconds that a lapsed entry has to come back after the store does.
@@ -28,9 +29,14 @@
 #: write it for three times that is no longer listed.
 OLDER_START_S = 3.0
 
+#: Seconds for which a restored store's entry must have stood before it takes a leaving back.
+#: Source: an upstream that lives writes its entry each 1.2 s at the slowest, and one that does not
+#: write it for three times that is no longer listed; a second more to hear of it.
+LEAVING_STANDS_S = 5.0
 
-class _OlderStart:
-    """Hold what an older start of an upstream says, to be believed at `believed_at`."""
+
+class _DoubtedEntry:
+    """Hold what is told of an upstream and looks outdated, to be believed at `believed_at`."""
 
     __slots__ = ('believed_at', 'entry')
 
@@ -59,7 +65,7 @@
         self.changes = 0
         self._lapsed: list[Upstream] = []
         self.evacuated: Evacuated = NOTHING_EVACUATED
-        self._older_by_name: dict[str, _OlderStart] = {}
+        self._doubted_by_name: dict[str, _DoubtedEntry] = {}
 
     @property
     def listed_count(self) -> int:
@@ -113,9 +119,13 @@
         self.unsettled_until = now + RETURN_GRACE_S
 
     @property
-    def older_starts(self) -> list[UpstreamEntry]:
-        """Entries of older starts than those that are known; they are not believed yet."""
-        return [older.entry for older in self._older_by_name.values()]
+    def doubted_entries(self) -> list[UpstreamEntry]:
+        """Entries that are not believed yet.
+
+        They are of older starts than those that are known, or of a copy of the store that was made
+        before an upstream announced its leaving.
+        """
+        return [doubted.entry for doubted in self._doubted_by_name.values()]
 
     def take(self, entry: UpstreamEntry, now: float) -> bool:
         """Take a listed entry; return whether it is new or says something new.
@@ -132,7 +142,9 @@
             return False
         if entry.is_other_start(known.entry):
             return self._restart(known.entry, entry, now)
-        self._older_by_name.pop(entry.name, None)
+        if _takes_leaving_back(known.entry, entry) and self._is_copied(entry, now):
+            return False
+        self._doubted_by_name.pop(entry.name, None)
         returned = known.missing_at is not None
         known.missing_at = None
         known.left = False
@@ -143,9 +155,13 @@
         known.warm_at = now + entry.cold_s
         return True
 
-    def due_older_starts(self, now: float) -> list[UpstreamEntry]:
-        """Return the entries of older starts that are to be believed now."""
-        return [older.entry for older in self._older_by_name.values() if now >= older.believed_at]
+    def due_doubted(self, now: float) -> list[UpstreamEntry]:
+        """Return the doubted entries that are to be believed now."""
+        return [
+            doubted.entry
+            for doubted in self._doubted_by_name.values()
+            if now >= doubted.believed_at
+        ]
 
     def withhold(self, name: str, revision: int) -> bool:
         """Note that `revision` made an entry unreadable; return whether it was in use.
@@ -157,7 +173,7 @@
             return False
         self.account_for(revision)
         self.changes += 1
-        self._older_by_name.pop(name, None)
+        self._doubted_by_name.pop(name, None)
         used = known.entry.usable
         known.entry = known.entry.unusable(revision)
         return used
@@ -178,7 +194,7 @@
         if known is None or revision < known.entry.revision:
             return None
         known.removed_revision = max(known.removed_revision, revision)
-        self._older_by_name.pop(name, None)
+        self._doubted_by_name.pop(name, None)
         if known.missing_at is not None:
             return None
         self.changes += 1
@@ -204,17 +220,30 @@
         those of the new one, and takes everybody back.  An older start that stays is that of a
         host whose clock was set back.
         """
-        older = self._older_by_name.get(entry.name)
+        doubted = self._doubted_by_name.get(entry.name)
         if entry.started_ms < former.started_ms:
-            believed_at = older.believed_at if older else now + OLDER_START_S
+            believed_at = doubted.believed_at if doubted else now + OLDER_START_S
             if now < believed_at:
-                self._older_by_name[entry.name] = _OlderStart(entry, believed_at)
+                self._doubted_by_name[entry.name] = _DoubtedEntry(entry, believed_at)
                 return False
         self._remove(entry.name)
         self._add(entry, now)
         self.changes += 1
         return True
 
+    def _is_copied(self, entry: UpstreamEntry, now: float) -> bool:
+        """Whether an entry of a restored store is likely that of its copy; doubt it then.
+
+        What goes wrong without it: an upstream announces its leaving, the store comes back from a
+        copy made before, and new flows go to the upstream while it ends, or to its
+        address after that.  A second word of the same incarnation was written since the restore.
+        """
+        doubted = self._doubted_by_name.get(entry.name)
+        if doubted is None:
+            self._doubted_by_name[entry.name] = _DoubtedEntry(entry, now + LEAVING_STANDS_S)
+            return True
+        return now < doubted.believed_at and entry.revision <= doubted.entry.revision
+
     def _suspect_outage(self, lapsed: Upstream, now: float) -> None:
         """Take entries that lapse together for an outage of the store.
 
@@ -255,8 +284,15 @@
 
     def _remove(self, name: str) -> None:
         entry = self.by_name.pop(name).entry
-        self._older_by_name.pop(name, None)
+        self._doubted_by_name.pop(name, None)
         holder = self.by_number.get(entry.short_number)
         if holder is not None and holder.entry.name == name:
             self.by_number.pop(entry.short_number)
         self._by_service.get(entry.service, {}).pop(name, None)
+
+
+def _takes_leaving_back(known: UpstreamEntry, entry: UpstreamEntry) -> bool:
+    """Whether another incarnation of the store has an upstream ready that is known to leave."""
+    if is_same_incarnation(known.revision, entry.revision):
+        return False
+    return known.draining and not entry.draining
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -52,7 +52,7 @@
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.taking import (
     note_restored,
-    settle_starts,
+    settle_doubts,
     take_entry,
     take_removal,
     take_text,
@@ -339,7 +339,7 @@
     if now >= state.forget_at:
         state.forget_at = now + _FORGET_EVERY_S
         state.directory.forget_old(now)
-    effects = settle_starts(state, now)
+    effects = settle_doubts(state, now)
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -221,9 +221,11 @@
         seen = known.removals_revision if withheld else known.upstreams_revision
         if whole or upstream.entry.revision > seen:
             entries.append(upstream.entry)
-    # After the entries that hold: taken before them, an older start would pass for the newer word.
+    # After the entries that hold: taken before them, a doubted one would pass for the newer word.
     entries.extend(
-        older for older in state.directory.older_starts if older.revision > known.upstreams_revision
+        doubted
+        for doubted in state.directory.doubted_entries
+        if doubted.revision > known.upstreams_revision
     )
     return entries
 
--- a/src/bronzekeel/core/routing/taking.py
+++ b/src/bronzekeel/core/routing/taking.py
@@ -102,10 +102,10 @@
     return True
 
 
-def settle_starts(state: RoutingState, now: float) -> list[Effect]:
-    """Believe what older starts of upstreams have said for long."""
+def settle_doubts(state: RoutingState, now: float) -> list[Effect]:
+    """Believe the doubted entries that have stood for long."""
     effects: list[Effect] = []
-    for entry in state.directory.due_older_starts(now):
+    for entry in state.directory.due_doubted(now):
         effects.extend(take_entry(state, entry, now))
     return effects
 
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -142,7 +142,7 @@
         _tell(state, _started(_SECOND_MS, 61, port=81), 1.8)
         reduce(state, Ticked(), 1 + OLDER_START_S)
         self.assertEqual(81, state.directory.by_name[_NAME].entry.address[1])
-        self.assertEqual([], state.directory.older_starts)
+        self.assertEqual([], state.directory.doubted_entries)
 
     def test_a_start_by_a_clock_that_was_set_back(self) -> None:
         """Symptom: an upstream is sent to its former address for as long as it lives.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.directory import RETURN_GRACE_S
+from bronzekeel.core.routing.directory import LEAVING_STANDS_S, RETURN_GRACE_S
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges, WriteLine
 from bronzekeel.core.routing.events import (
     ChangesRead,
@@ -356,3 +356,83 @@
         known = Known(asker.text_order, asker.directory.newest_revision, 0)
         reduce(asker, ViewFetched(('b1', 9), view_since(teller, known, 1)), 1)
         self.assertEqual(2, asker.directory.listed_count)
+
+
+class LeavingTest(TestCase):
+    """Upstreams that announced their leaving before a restore, and are ready in the copy."""
+
+    def test_a_copy_does_not_take_a_leaving_back(self) -> None:
+        """An upstream that had announced its leaving got new flows again after a restore.
+
+        The copy was made before the announcement.  Upstreams write again about once a second, so
+        the copy's word is not believed before it has stood for longer.
+        """
+        state = leaving_state()
+        relist(state, 2)
+        self.assertFalse(state.directory.by_name[entry(2).name].takes_flows(2))
+        for tick in range(1, 10 * int(LEAVING_STANDS_S)):
+            reduce(state, Ticked(), 2 + tick / 10)
+        self.assertFalse(
+            state.directory.by_name[entry(2).name].takes_flows(2 + LEAVING_STANDS_S / 2)
+        )
+
+    def test_what_a_copy_says_for_long_is_believed(self) -> None:
+        """The upstream goes on after all: its entry stands as the copy has it."""
+        state = leaving_state()
+        relist(state, 2)
+        reduce(state, Ticked(), 2 + LEAVING_STANDS_S)
+        self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2 + LEAVING_STANDS_S))
+
+    def test_what_is_written_since_is_believed_at_once(self) -> None:
+        """The upstream writes that it is ready after the restore."""
+        state = leaving_state()
+        relist(state, 2)
+        told = revision_of(_SECOND, 12)
+        ready = StoredObject(entry(2).name, told, entry(2, revision=told))
+        reduce(state, ChangesRead(Collection.UPSTREAMS, [ready], told), 2.5)
+        self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2.5))
+
+    def test_one_that_left_does_not_come_back_by_a_copy(self) -> None:
+        """The copy was made before an upstream left; its address may be another service's now."""
+        state = leaving_state()
+        removed = StoredObject(entry(2).name, revision_of(_FIRST, 11), None)
+        reduce(state, ChangesRead(Collection.UPSTREAMS, [removed], removed.revision), 1.5)
+        relist(state, 2)
+        self.assertFalse(state.directory.by_name[entry(2).name].listed)
+
+    def test_one_that_lapsed_comes_back_at_once(self) -> None:
+        """An entry that lapsed in the outage before the restore is used as the copy has it."""
+        state = known_state(1, 2)
+        reduce(state, changes(Collection.UPSTREAMS, _FIRST), 1.2)
+        removed = StoredObject(entry(2).name, revision_of(_FIRST, 11), None)
+        reduce(state, ChangesRead(Collection.UPSTREAMS, [removed], removed.revision), 1.5)
+        relist(state, 2)
+        self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2))
+
+    def test_peers_hear_of_what_is_not_believed_yet(self) -> None:
+        """A host that hears the copy's word from a peer believes it no sooner."""
+        teller = leaving_state()
+        relist(teller, 2)
+        asker = leaving_state()
+        known = Known(asker.text_order, asker.directory.newest_revision, 0)
+        reduce(asker, ViewFetched(('b1', 9), view_since(teller, known, 2)), 2)
+        leaving = asker.directory.by_name[entry(2).name]
+        self.assertTrue(leaving.listed)
+        self.assertFalse(leaving.takes_flows(2))
+        reduce(asker, Ticked(), 2 + LEAVING_STANDS_S)
+        self.assertTrue(leaving.takes_flows(2 + LEAVING_STANDS_S))
+
+
+def leaving_state() -> RoutingState:
+    """Return a state that knows two upstreams, of which the second is leaving."""
+    state = known_state(1, 2)
+    told = revision_of(_FIRST, 10)
+    leaving = StoredObject(entry(2).name, told, entry(2, revision=told, draining=True))
+    reduce(state, ChangesRead(Collection.UPSTREAMS, [leaving], told), 1.1)
+    return state
+
+
+def relist(state: RoutingState, now: float) -> None:
+    """Let a host list the copy, in which both upstreams are ready."""
+    state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+    reduce(state, page_of_copy(1, 2), now)
