Keep evacuations that a restored store has lost until operators could write them again

What callers and operators would see: new flows to a data centre that people work on, for as long as the operators take to write the evacuation again after the store came back from a copy made before it. Change: what was evacuated by the former incarnation stays closed for five seconds, until it is named again, or named and taken back; hosts tell each other the store's word alone and each keeps for itself. An evacuation that the copy has again though it was taken back is obeyed until the operators remove it again: nobody can tell it from one written just now. Conclusion: evacuations hold through a restore on hosts that knew of them.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -5,7 +5,7 @@
 after ``RETURN_GRACE_S`` counts as gone.
 """
 
-from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
+from bronzekeel.core.routing.closed_centres import COPY_DOUBTED_S, ClosedCentres
 from bronzekeel.core.routing.model import Upstream, UpstreamEntry
 from bronzekeel.core.routing.pools import Pool
 from bronzekeel.core.routing.revisions import is_same_incarnation
@@ -29,11 +29,6 @@
 #: write it for three times that is no longer listed.
 OLDER_START_S = 3.0
 
-#: Seconds for which a restored store's entry must have stood before it takes a leaving back.
-#: Source: an upstream that lives writes its entry each 1.2 s at the slowest, and one that does not
-#: write it for three times that is no longer listed; a second more to hear of it.
-LEAVING_STANDS_S = 5.0
-
 
 class _DoubtedEntry:
     """Hold what is told of an upstream and looks outdated, to be believed at `believed_at`."""
@@ -64,7 +59,7 @@
         self.ordered = True
         self.changes = 0
         self._lapsed: list[Upstream] = []
-        self.evacuated: Evacuated = NOTHING_EVACUATED
+        self.closed_centres = ClosedCentres()
         self._doubted_by_name: dict[str, _DoubtedEntry] = {}
 
     @property
@@ -103,12 +98,12 @@
         """Whether requests wait for room at a data centre's upstreams."""
         return any(pool.queued_s(now) for pool in self.pools_of(data_centre))
 
-    def evacuate(self, evacuated: Evacuated) -> None:
-        """Keep new flows away from the upstreams of these data centres, and of no others."""
-        self.evacuated = evacuated
+    def close_pools(self) -> None:
+        """Keep new flows away from the upstreams of closed data centres, and of no others."""
+        closed = self.closed_centres.names
         for pool_by_centre in self.pools_by_service.values():
             for centre, pool in pool_by_centre.items():
-                pool.evacuated = centre in evacuated.centres
+                pool.evacuated = centre in closed
 
     def account_for(self, revision: int) -> None:
         """Note that every change up to `revision` is known."""
@@ -240,7 +235,7 @@
         """
         doubted = self._doubted_by_name.get(entry.name)
         if doubted is None:
-            self._doubted_by_name[entry.name] = _DoubtedEntry(entry, now + LEAVING_STANDS_S)
+            self._doubted_by_name[entry.name] = _DoubtedEntry(entry, now + COPY_DOUBTED_S)
             return True
         return now < doubted.believed_at and entry.revision <= doubted.entry.revision
 
@@ -279,7 +274,7 @@
         """Return the pool that an upstream belongs to; pools are few and stay."""
         by_centre = self.pools_by_service.setdefault(entry.service, {})
         centre = entry.data_centre
-        fresh = Pool(entry.service, centre, evacuated=centre in self.evacuated.centres)
+        fresh = Pool(entry.service, centre, evacuated=centre in self.closed_centres.names)
         return by_centre.setdefault(centre, fresh)
 
     def _remove(self, name: str) -> None:
--- a/src/bronzekeel/core/routing/evacuations.py
+++ b/src/bronzekeel/core/routing/evacuations.py
@@ -18,6 +18,10 @@
 from bronzekeel.core.routing.state import RoutingState
 
 
+#: Who told, in the log, where it was no peer.
+STORE = 'store'
+
+
 def evacuated_after(
     evacuated: Evacuated,
     changes: list[StoredObject],
@@ -38,22 +42,44 @@
     return Evacuated(revision, frozenset(centres))
 
 
-def take_evacuated(state: RoutingState, told: Evacuated, teller: str) -> list[Effect]:
-    """Put what `teller` says in force if it is newer; the newest word holds as a whole."""
-    known = state.evacuated
-    if told.as_of <= known.as_of:
+def take_evacuated(
+    state: RoutingState,
+    told: Evacuated,
+    teller: str,
+    now: float,
+) -> list[Effect]:
+    """Put what `teller` says in force if it is newer; the newest word holds as a whole.
+
+    What a restored store does not have is kept for a while.
+    """
+    if told.as_of <= state.evacuated.as_of:
         return []
-    state.directory.evacuate(told)
+    closed = state.directory.closed_centres
+    former = closed.names
+    closed.take(told, now)
+    state.directory.close_pools()
     state.follower_by_collection[Collection.EVACUATIONS].adopt(told.as_of)
-    if told.centres == known.centres:
-        return []
-    effects: list[Effect] = []
-    for number, centres in (
-        (LogNumber.EVACUATED, told.centres - known.centres),
-        (LogNumber.TAKEN_BACK, known.centres - told.centres),
-    ):
-        effects.extend(
-            WriteLine(number, data_centre=centre, revision=shown(told.as_of), told_by=teller)
-            for centre in sorted(centres)
-        )
-    return effects
+    return [
+        *_lines(LogNumber.EVACUATED, closed.names - former, told.as_of, teller),
+        *_lines(LogNumber.TAKEN_BACK, former - closed.names, told.as_of, teller),
+    ]
+
+
+def end_evacuations(state: RoutingState, now: float) -> list[Effect]:
+    """End the evacuations that a restored store lost and operators did not write again."""
+    ended = state.directory.closed_centres.end_kept(now)
+    if ended:
+        state.directory.close_pools()
+    return _lines(LogNumber.TAKEN_BACK, ended, state.evacuated.as_of, STORE)
+
+
+def _lines(
+    number: LogNumber,
+    centres: frozenset[str],
+    as_of: int,
+    teller: str,
+) -> list[Effect]:
+    return [
+        WriteLine(number, data_centre=centre, revision=shown(as_of), told_by=teller)
+        for centre in sorted(centres)
+    ]
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -29,7 +29,12 @@
     ViewFailed,
     ViewFetched,
 )
-from bronzekeel.core.routing.evacuations import evacuated_after, take_evacuated
+from bronzekeel.core.routing.evacuations import (
+    STORE,
+    end_evacuations,
+    evacuated_after,
+    take_evacuated,
+)
 from bronzekeel.core.routing.follower import GATHER_S, LISTEN_S, Collection, Follower
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
@@ -74,9 +79,6 @@
 #: What is wrong, in the log, with an answer from before the store was restored.
 _FORMER = 'a former incarnation of the store answered'
 
-#: Who told, in the log, where it was no peer.
-_STORE = 'store'
-
 #: Seconds that a silent flow is remembered while no text is known.
 _IDLE_S = 15.0
 
@@ -118,7 +120,7 @@
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
     if follower.collection is Collection.EVACUATIONS:
-        effects.extend(take_evacuated(state, _listed_evacuated(state, follower), _STORE))
+        effects.extend(take_evacuated(state, _listed_evacuated(state, follower), STORE, now))
     effects.extend(become_ready(state, now))
     if follower.stale:
         follower.listen(now + LISTEN_S)
@@ -143,7 +145,7 @@
         effects.extend(_take(state, follower, stored, now))
     if follower.collection is Collection.EVACUATIONS:
         told = evacuated_after(state.evacuated, event.objects, event.revision)
-        effects.extend(take_evacuated(state, told, _STORE))
+        effects.extend(take_evacuated(state, told, STORE, now))
     follower.revision = max(follower.revision, event.revision)
     effects.extend(become_ready(state, now))
     if event.objects and follower.collection is Collection.UPSTREAMS:
@@ -340,6 +342,7 @@
         state.forget_at = now + _FORGET_EVERY_S
         state.directory.forget_old(now)
     effects = settle_doubts(state, now)
+    effects.extend(end_evacuations(state, now))
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -250,7 +250,7 @@
     told is told on at once: here everybody waits for it.
     """
     known = state.evacuated.centres
-    effects = take_evacuated(state, heartbeat.evacuated, heartbeat.sender.name)
+    effects = take_evacuated(state, heartbeat.evacuated, heartbeat.sender.name, now)
     effects.extend(become_ready(state, now))
     if state.evacuated.centres == known:
         return effects
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -129,7 +129,7 @@
     @property
     def evacuated(self) -> Evacuated:
         """The newest that is known of evacuations."""
-        return self.directory.evacuated
+        return self.directory.closed_centres.told
 
     @property
     def incarnation(self) -> int:
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -115,7 +115,7 @@
         'store_incarnation': state.store_record.incarnation or 0,
         'generation': state.text.generation if state.text else 0,
         'routes': len(state.text.route_by_key) if state.text else 0,
-        'data_centres_evacuated': len(state.evacuated.centres),
+        'data_centres_evacuated': len(state.directory.closed_centres.names),
         'upstreams_listed': state.directory.listed_count,
         'flows_remembered': len(state.flows),
         'peers_living': len(state.peers.living(now)),
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,10 +3,13 @@
 from unittest import TestCase
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.directory import LEAVING_STANDS_S, RETURN_GRACE_S
+from bronzekeel.core.routing.closed_centres import COPY_DOUBTED_S
+from bronzekeel.core.routing.directory import RETURN_GRACE_S
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges, WriteLine
 from bronzekeel.core.routing.events import (
     ChangesRead,
+    Evacuation,
+    HeartbeatHeard,
     HistoryLost,
     PageRead,
     StoredObject,
@@ -14,7 +17,7 @@
     ViewFetched,
 )
 from bronzekeel.core.routing.follower import Collection
-from bronzekeel.core.routing.messages import Known
+from bronzekeel.core.routing.messages import Evacuated, Heartbeat, Known, PeerAddress
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.revisions import revision_of
@@ -24,6 +27,7 @@
 from bronzekeel.replay.routing_fleet import RoutingFleet
 from bronzekeel.replay.routing_store import StoreCopy
 from tests.routing_cases import (
+    HOME,
     entry,
     fleet_of,
     fresh_state,
@@ -370,18 +374,16 @@
         state = leaving_state()
         relist(state, 2)
         self.assertFalse(state.directory.by_name[entry(2).name].takes_flows(2))
-        for tick in range(1, 10 * int(LEAVING_STANDS_S)):
+        for tick in range(1, 10 * int(COPY_DOUBTED_S)):
             reduce(state, Ticked(), 2 + tick / 10)
-        self.assertFalse(
-            state.directory.by_name[entry(2).name].takes_flows(2 + LEAVING_STANDS_S / 2)
-        )
+        self.assertFalse(state.directory.by_name[entry(2).name].takes_flows(2 + COPY_DOUBTED_S / 2))
 
     def test_what_a_copy_says_for_long_is_believed(self) -> None:
         """The upstream goes on after all: its entry stands as the copy has it."""
         state = leaving_state()
         relist(state, 2)
-        reduce(state, Ticked(), 2 + LEAVING_STANDS_S)
-        self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2 + LEAVING_STANDS_S))
+        reduce(state, Ticked(), 2 + COPY_DOUBTED_S)
+        self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2 + COPY_DOUBTED_S))
 
     def test_what_is_written_since_is_believed_at_once(self) -> None:
         """The upstream writes that it is ready after the restore."""
@@ -419,8 +421,8 @@
         leaving = asker.directory.by_name[entry(2).name]
         self.assertTrue(leaving.listed)
         self.assertFalse(leaving.takes_flows(2))
-        reduce(asker, Ticked(), 2 + LEAVING_STANDS_S)
-        self.assertTrue(leaving.takes_flows(2 + LEAVING_STANDS_S))
+        reduce(asker, Ticked(), 2 + COPY_DOUBTED_S)
+        self.assertTrue(leaving.takes_flows(2 + COPY_DOUBTED_S))
 
 
 def leaving_state() -> RoutingState:
@@ -436,3 +438,101 @@
     """Let a host list the copy, in which both upstreams are ready."""
     state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
     reduce(state, page_of_copy(1, 2), now)
+
+
+class EvacuationTest(TestCase):
+    """Evacuations that a restored store has lost, or has again."""
+
+    def test_an_evacuation_that_a_restore_lost_stands(self) -> None:
+        """A data centre that people work on got new flows after the store's restore.
+
+        The copy was made before the operators evacuated it; they write that again in a moment.
+        """
+        state = evacuated_state()
+        relist_evacuations(state, 2)
+        self.assertFalse(takes_flows(state, 2))
+        reduce(state, Ticked(), 2 + COPY_DOUBTED_S / 2)
+        self.assertFalse(takes_flows(state, 2 + COPY_DOUBTED_S / 2))
+
+    def test_one_that_is_not_written_again_ends(self) -> None:
+        """The operators had taken it back meanwhile, which a restored store has no word of."""
+        state = evacuated_state()
+        relist_evacuations(state, 2)
+        told = reduce(state, Ticked(), 2 + COPY_DOUBTED_S)
+        self.assertTrue(takes_flows(state, 2 + COPY_DOUBTED_S))
+        self.assertEqual(1, len(lines_of(told, LogNumber.TAKEN_BACK)))
+
+    def test_one_that_is_written_again_stands_on(self) -> None:
+        """From then on the store's word holds, also when it is taken back."""
+        state = evacuated_state()
+        relist_evacuations(state, 2)
+        told = revision_of(_SECOND, 10)
+        written = StoredObject(HOME, told, Evacuation())
+        effects = reduce(state, ChangesRead(Collection.EVACUATIONS, [written], told), 2.5)
+        self.assertEqual([], lines_of(effects, LogNumber.EVACUATED))
+        reduce(state, Ticked(), 2 + COPY_DOUBTED_S)
+        self.assertFalse(takes_flows(state, 2 + COPY_DOUBTED_S))
+        ended = revision_of(_SECOND, 11)
+        removed = StoredObject(HOME, ended, None)
+        reduce(state, ChangesRead(Collection.EVACUATIONS, [removed], ended), 2.6 + COPY_DOUBTED_S)
+        self.assertTrue(takes_flows(state, 2.6 + COPY_DOUBTED_S))
+
+    def test_one_that_is_written_again_and_taken_back_ends(self) -> None:
+        """The operators' word is obeyed at once, also soon after a restore."""
+        state = evacuated_state()
+        relist_evacuations(state, 2)
+        for number, content in ((10, Evacuation()), (11, None)):
+            told = revision_of(_SECOND, number)
+            stored = StoredObject(HOME, told, content)
+            reduce(state, ChangesRead(Collection.EVACUATIONS, [stored], told), 2.5)
+        self.assertTrue(takes_flows(state, 2.5))
+
+    def test_peers_word_of_a_restored_store_ends_none_at_once(self) -> None:
+        """A host that does not watch hears from a peer what the copy has."""
+        state = evacuated_state()
+        sender = PeerAddress('a2', HOME, ('a2', 9))
+        word = Evacuated(revision_of(_SECOND, 9), frozenset())
+        reduce(state, HeartbeatHeard(Heartbeat(sender, 1, 1, {}, evacuated=word)), 2)
+        self.assertFalse(takes_flows(state, 2))
+        reduce(state, Ticked(), 2 + COPY_DOUBTED_S)
+        self.assertTrue(takes_flows(state, 2 + COPY_DOUBTED_S))
+
+    def test_one_that_the_copy_has_is_obeyed(self) -> None:
+        """Nobody can tell an evacuation of the copy from one written just now."""
+        state = known_state(1, 2)
+        relist_evacuations(state, 2, HOME)
+        self.assertFalse(takes_flows(state, 2))
+
+    def test_upstreams_listed_meanwhile_get_nothing(self) -> None:
+        """An upstream joins a data centre whose evacuation the restore lost."""
+        state = evacuated_state()
+        relist_evacuations(state, 2)
+        told = revision_of(_SECOND, 12)
+        listed = entry(7, 'another', revision=told)
+        joined = ChangesRead(Collection.UPSTREAMS, [StoredObject(listed.name, told, listed)], told)
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        reduce(state, page_of_copy(1, 2), 2)
+        reduce(state, joined, 2.1)
+        self.assertFalse(state.directory.by_name[listed.name].takes_flows(2.1))
+
+
+def evacuated_state() -> RoutingState:
+    """Return a state that knows the own data centre to be evacuated."""
+    state = known_state(1, 2)
+    told = revision_of(_FIRST, 10)
+    evacuation = StoredObject(HOME, told, Evacuation())
+    reduce(state, ChangesRead(Collection.EVACUATIONS, [evacuation], told), 1.1)
+    return state
+
+
+def relist_evacuations(state: RoutingState, now: float, *centres: str) -> None:
+    """Let a host list the evacuations of a copy."""
+    state.follower_by_collection[Collection.EVACUATIONS].begin_listing()
+    told = revision_of(_SECOND, 9)
+    objects = [StoredObject(centre, told, Evacuation()) for centre in centres]
+    reduce(state, PageRead(Collection.EVACUATIONS, objects, told, more=False), now)
+
+
+def takes_flows(state: RoutingState, now: float) -> bool:
+    """Whether an upstream of the own data centre takes new flows."""
+    return state.directory.by_name[entry(1).name].takes_flows(now)
