Know a restored store in the keepers' client too, and pause where no watch can go on

After a restore its watch was refused, what it read then counted as older than what it knew, and it came again at once; once the numbers had passed, what lay between was missed. It is not run on the users' platform, so nobody saw it. Change: versions are revisions with the store's incarnation; a watch that another incarnation answers is read anew; of two reads that follow each other without a watch that goes on, the second is refused, and callers wait as after any refusal. One reader of the header serves both clients.

--- a/src/bronzekeel/platform/client.py
+++ b/src/bronzekeel/platform/client.py
@@ -1,7 +1,8 @@
 """Keep the product's own objects in the platform's store.
 
 A key of ours is a kind and a name of the store; the bytes lie in its `spec`.
-The version of an object is the store's revision of its last change.
+The version of an object is the store's revision of its last change, with the
+store's incarnation (`core.routing.revisions`): numbers are given out again by a restored store.
 """
 
 from asyncio import CancelledError, Future, get_running_loop
@@ -14,9 +15,12 @@
 from msgspec.json import decode, encode
 
 from bronzekeel.adapters.asyncio_loop import AsyncioLoop
+from bronzekeel.core.routing.field_checks import FieldError
+from bronzekeel.core.routing.revisions import incarnation_of, number_of, revision_of
 from bronzekeel.core.store_waits import ANSWER_S, WATCH_S
-from bronzekeel.entry.http_client import Call, HttpConnection
+from bronzekeel.entry.http_client import Call, HttpConnection, Reply
 from bronzekeel.platform.calls import list_target, object_target, watch_target
+from bronzekeel.platform.incarnations import incarnation_told
 from bronzekeel.text.submission import ObjectStore, Stored, StoreLost, StoreRefused
 
 
@@ -29,7 +33,26 @@
 _HISTORY_GONE = 410
 _HTTP_PORT = 80
 
-_Reply = tuple[int, bytes]
+
+class _Answer:
+    """Hold an answer of the store, decoded."""
+
+    __slots__ = ('content', 'incarnation', 'status')
+
+    def __init__(self, status: int, content: dict[str, Any], incarnation: int) -> None:
+        self.status = status
+        self.content = content
+        self.incarnation = incarnation
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which a list or a watch tells."""
+        return revision_of(self.incarnation, int(self.content['storeRevision']))
+
+    def stored(self, item: dict[str, Any]) -> Stored:
+        """Return an object of the answer."""
+        version = revision_of(self.incarnation, int(item['meta']['revision']))
+        return Stored(version, b64decode(item['spec']['content']))
 
 
 class Key(Struct, frozen=True):
@@ -60,6 +83,7 @@
         self._address = (parts.hostname or '', parts.port or _HTTP_PORT)
         self._idle: list[HttpConnection] = []
         self._seen_by_key: dict[str, int] = {}
+        self._relisted: set[str] = set()
 
     async def __aenter__(self) -> Self:
         """Return the client; it connects with its first call."""
@@ -72,10 +96,11 @@
     async def read(self, key: str) -> Stored:
         """Return an object.  Raises StoreLost or StoreRefused."""
         place = Key.of(key)
-        status, answer = await self._call('GET', object_target(place.kind, place.name))
-        if status == _NOT_FOUND:
+        answer = await self._call('GET', object_target(place.kind, place.name))
+        if answer.status == _NOT_FOUND:
             return Stored(0)
-        return _stored(status, answer)
+        _expect(answer, _OK)
+        return answer.stored(answer.content)
 
     async def watch(self, key: str, after: int) -> Stored | None:
         """Return an object newer than `after`, None when it did not change in time.
@@ -86,37 +111,34 @@
         seen = max(after, self._seen_by_key.get(key, 0))
         if not seen:
             return await self._read_first(key, place)
-        target = watch_target(place.kind, seen, WATCH_S)
-        status, answer = await self._call('GET', target, within_s=WATCH_S + ANSWER_S)
-        if status == _HISTORY_GONE:
-            self._seen_by_key.pop(key, None)
-            stored = await self._read_first(key, place)
-            return stored if stored is not None and stored.version > after else None
-        if status != _OK:
-            raise StoreRefused(_refusal(status))
-        self._seen_by_key[key] = int(answer['storeRevision'])
+        target = watch_target(place.kind, number_of(seen), WATCH_S)
+        answer = await self._call('GET', target, within_s=WATCH_S + ANSWER_S)
+        if answer.status == _HISTORY_GONE or answer.incarnation != incarnation_of(seen):
+            return await self._relist(key, place, after)
+        _expect(answer, _OK)
+        self._relisted.discard(key)
+        self._seen_by_key[key] = answer.revision
         newest: Stored | None = None
-        for event in answer['events']:
+        for event in answer.content['events']:
             if event['object']['meta']['name'] == place.name and not event['tombstone']:
-                newest = _stored(_OK, event['object'])
+                newest = answer.stored(event['object'])
         return newest
 
     async def write(self, key: str, body: bytes, version: int) -> Stored | None:
         """Replace the object at `version`; None when it has another."""
         place = Key.of(key)
-        meta = {'name': place.name, 'revision': version, 'finalizers': ()}
+        meta = {'name': place.name, 'revision': number_of(version), 'finalizers': ()}
         content = {'meta': meta, 'spec': spec_of(body)}
         if version:
             target = object_target(place.kind, place.name)
-            status, answer = await self._call('PUT', target, content=content)
+            answer = await self._call('PUT', target, content=content)
         else:
             target = list_target(place.kind)
-            status, answer = await self._call('POST', target, content=content)
-        if status in {_CONFLICT, _NOT_FOUND}:
+            answer = await self._call('POST', target, content=content)
+        if answer.status in {_CONFLICT, _NOT_FOUND}:
             return None
-        if status not in {_OK, _CREATED}:
-            raise StoreRefused(_refusal(status))
-        return Stored(int(answer['meta']['revision']), body)
+        _expect(answer, _OK, _CREATED)
+        return answer.stored(answer.content)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -124,12 +146,25 @@
             connection.close()
         self._idle.clear()
 
+    async def _relist(self, key: str, place: Key, after: int) -> Stored | None:
+        """Read anew what a watch could not go on with.
+
+        What goes wrong without the refusal: a store that can go on with no watch answers each at
+        once, and its caller comes again without a pause.  Raises StoreLost or StoreRefused.
+        """
+        self._seen_by_key.pop(key, None)
+        if key in self._relisted:
+            self._relisted.discard(key)
+            raise StoreRefused('the platform can go on with no watch; try again later')
+        self._relisted.add(key)
+        stored = await self._read_first(key, place)
+        return stored if stored is not None and stored.version > after else None
+
     async def _read_first(self, key: str, place: Key) -> Stored | None:
         """Read an object and from which revision it is to be watched."""
-        status, answer = await self._call('GET', list_target(place.kind))
-        if status != _OK:
-            raise StoreRefused(_refusal(status))
-        self._seen_by_key[key] = int(answer['storeRevision'])
+        answer = await self._call('GET', list_target(place.kind))
+        _expect(answer, _OK)
+        self._seen_by_key[key] = answer.revision
         stored = await self.read(key)
         return stored if stored.version else None
 
@@ -139,30 +174,31 @@
         target: str,
         content: dict[str, Any] | None = None,
         within_s: float = ANSWER_S,
-    ) -> tuple[int, dict[str, Any]]:
-        """Return status and content of an answer.  Raises StoreLost."""
+    ) -> _Answer:
+        """Return an answer.  Raises StoreLost."""
         self.calls += 1
         body = b'' if content is None else encode(content)
-        status, answer = await self._reply(method, target, body, monotonic() + within_s)
-        if status not in {_OK, _CREATED}:
-            return status, {}
+        reply = await self._reply(method, target, body, monotonic() + within_s)
         try:
-            return status, decode(answer, type=dict[str, Any])
-        except DecodeError as fault:
+            incarnation = incarnation_told(reply.header_by_name)
+            if reply.status not in {_OK, _CREATED}:
+                return _Answer(reply.status, {}, incarnation)
+            return _Answer(reply.status, decode(reply.body, type=dict[str, Any]), incarnation)
+        except (DecodeError, FieldError) as fault:
             raise StoreLost(f'answer from the platform unreadable: {fault}') from fault
 
-    async def _reply(self, method: str, target: str, body: bytes, until: float) -> _Reply:
+    async def _reply(self, method: str, target: str, body: bytes, until: float) -> Reply:
         """Make a call on an idle connection or a new one.  Raises StoreLost."""
         loop = get_running_loop()
         if self._idle:
             connection = self._idle.pop()
         else:
             connection = HttpConnection(AsyncioLoop(loop), self._address)
-        replied: Future[_Reply] = loop.create_future()
+        replied: Future[Reply] = loop.create_future()
         call = Call(
             target,
             until,
-            lambda reply: _settle(replied, (reply.status, reply.body)),
+            lambda reply: _settle(replied, reply),
             lambda problem: _settle(replied, StoreLost(f'no answer from the platform: {problem}')),
             method=method,
             body=body,
@@ -177,7 +213,7 @@
         return reply
 
 
-def _settle(replied: Future[_Reply], outcome: _Reply | StoreLost) -> None:
+def _settle(replied: Future[Reply], outcome: Reply | StoreLost) -> None:
     """Give a call its outcome; one that nobody waits for any more is left."""
     if replied.done():
         return
@@ -187,11 +223,7 @@
         replied.set_result(outcome)
 
 
-def _stored(status: int, answer: dict[str, Any]) -> Stored:
-    if status != _OK:
-        raise StoreRefused(_refusal(status))
-    return Stored(int(answer['meta']['revision']), b64decode(answer['spec']['content']))
-
-
-def _refusal(status: int) -> str:
-    return f'the platform answered {status}; try again when it takes calls'
+def _expect(answer: _Answer, *statuses: int) -> None:
+    """Raise StoreRefused unless an answer has one of these statuses."""
+    if answer.status not in statuses:
+        raise StoreRefused(f'the platform answered {answer.status}; try again when it takes calls')
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -32,9 +32,7 @@
     ServiceShare,
 )
 from bronzekeel.core.routing.field_checks import (
-    MOST_INCARNATION,
     MOST_RATE,
-    FieldError,
     figure,
     label,
     whole_number,
@@ -43,9 +41,9 @@
 from bronzekeel.entry.ports import NO_HEADERS, StoreCalls
 from bronzekeel.platform.bodies import BODY_FAULTS, decode_body
 from bronzekeel.platform.entries import read_entry
+from bronzekeel.platform.incarnations import incarnation_told
 from bronzekeel.platform.calls import (
     EVACUATIONS_KIND,
-    INCARNATION_HEADER,
     TEXT_KIND,
     TEXT_NAME,
     UPSTREAMS_KIND,
@@ -61,7 +59,6 @@
         Collection.EVACUATIONS.value: EVACUATIONS_KIND,
     },
 )
-_INCARNATION_KEY = INCARNATION_HEADER.lower()
 _OK = 200
 _GONE = 410
 _MS = 1000
@@ -103,7 +100,7 @@
         if status != _OK:
             return CallFailed(collection, f'the store answered {status}')
         try:
-            incarnation = _incarnation(header_by_name)
+            incarnation = incarnation_told(header_by_name)
             page = decode_body(body)
             return PageRead(
                 collection,
@@ -123,7 +120,7 @@
     ) -> Event:
         """Return what the answer to a watch tells."""
         try:
-            incarnation = _incarnation(header_by_name)
+            incarnation = incarnation_told(header_by_name)
             if status == _GONE:
                 return HistoryLost(collection, incarnation)
             if status != _OK:
@@ -139,15 +136,6 @@
             return CallFailed(collection, f'changes unreadable: {fault!r}')
 
 
-def _incarnation(header_by_name: Mapping[str, str]) -> int:
-    """Return which incarnation of the store answered.  Raises FieldError."""
-    told = header_by_name.get(_INCARNATION_KEY, '0')
-    digits = told.strip()
-    if not digits.isascii() or not digits.isdecimal():
-        raise FieldError(INCARNATION_HEADER, told, 'a whole number')
-    return whole_number(INCARNATION_HEADER, int(digits), most=MOST_INCARNATION)
-
-
 def _store_revision(incarnation: int, answer: Any) -> int:
     """Return up to where an answer tells.  Raises FieldError."""
     number = int(answer['storeRevision'])
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -19,7 +19,8 @@
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.report.outcomes import OutcomeLine
 from bronzekeel.standins.platform import PlatformStandIn
-from bronzekeel.text.submission import Accepted, StoreRefused, submit
+from bronzekeel.standins.store_copy import copy_of, restore
+from bronzekeel.text.submission import HEAD_KEY, Accepted, StoreRefused, submit
 
 _ROOT = Path(__file__).parent.parent
 _EXAMPLE = str(_ROOT / 'examples' / 'stichting.json')
@@ -196,6 +197,19 @@
         """
         run(self._submit())
 
+    def test_a_watch_goes_on_in_a_restored_store(self) -> None:
+        """A balancer made call after call, without a pause, and left out what was written.
+
+        The store had come back from a copy.  A watch from the revision that was known got 410 at
+        once, and what was read then counted as older, so the next watch began where the last had;
+        once the store's revisions had passed that, what lay between was missed.
+        """
+        run(self._watch_a_restored_store())
+
+    def test_a_store_without_history_is_called_with_pauses(self) -> None:
+        """Each watch is refused at once; every second time the caller is told to wait."""
+        run(self._watch_without_history())
+
     async def _submit(self) -> None:
         platform = PlatformStandIn()
         await platform.open()
@@ -208,3 +222,36 @@
             with self.assertRaises(StoreRefused):
                 await submit(client, body, 'three')
         await platform.close()
+
+    async def _watch_a_restored_store(self) -> None:
+        platform = PlatformStandIn()
+        await platform.open()
+        platform.put(HEAD_KEY, b'1')
+        async with PlatformClient(platform.url) as client:
+            copy = copy_of(platform)
+            for body in (b'2', b'3', b'4'):
+                platform.put(HEAD_KEY, body)
+            seen = await client.watch(HEAD_KEY, 0)
+            restore(platform, copy)
+            platform.put(HEAD_KEY, b'5')
+            told = await client.watch(HEAD_KEY, seen.version if seen else 0)
+            self.assertEqual(b'5', told.body if told else b'')
+            for body in (b'6', b'7', b'8'):
+                platform.put(HEAD_KEY, body)
+                told = await client.watch(HEAD_KEY, told.version if told else 0)
+                self.assertEqual(body, told.body if told else b'')
+            self.assertLess(client.calls, 12)
+        await platform.close()
+
+    async def _watch_without_history(self) -> None:
+        platform = PlatformStandIn()
+        await platform.open()
+        platform.put(HEAD_KEY, b'1')
+        async with PlatformClient(platform.url) as client:
+            seen = await client.watch(HEAD_KEY, 0)
+            platform.history_from = platform.revision + 1
+            after = seen.version if seen else 0
+            self.assertIsNone(await client.watch(HEAD_KEY, after))
+            with self.assertRaises(StoreRefused):
+                await client.watch(HEAD_KEY, after)
+        await platform.close()
