Tell the version of the list of hosts in two numbers, and fail tests that leave a fault in the log

Seen in the log of a run in which all tests passed: an exception in a callback ends no test. Conclusion: mended; the guard shows the next of its kind.

--- a/src/bronzekeel/core/messages.py
+++ b/src/bronzekeel/core/messages.py
@@ -195,10 +195,15 @@
 
 
 class HostList(_Message, frozen=True, tag='l'):
-    """Give the platform's list of hosts; `version` is the platform's."""
+    """Give the platform's list of hosts.
+
+    Its version is told as the platform's incarnation and own number: MessagePack's whole numbers
+    have 64 bits, and a version has more.
+    """
 
     sender: str
-    version: int
+    store_incarnation: int
+    store_number: int
     hosts: tuple[HostEntry, ...]
 
 
--- a/src/bronzekeel/core/reducer.py
+++ b/src/bronzekeel/core/reducer.py
@@ -31,6 +31,7 @@
 from bronzekeel.core.membership import reducer as membership
 from bronzekeel.core.requests import keepers as slot_keepers
 from bronzekeel.core.requests import reducer as requests
+from bronzekeel.core.routing.revisions import incarnation_of, number_of, revision_of
 from bronzekeel.core.rollout import reducer as rollout
 from bronzekeel.core.state import BalancerState
 from bronzekeel.core.steering import journal, keeper, owners, replicas
@@ -128,7 +129,12 @@
 
 def _host_list(state: BalancerState) -> messages.HostList:
     members = state.members
-    return messages.HostList(members.me.name, members.hosts_version, members.hosts)
+    return messages.HostList(
+        members.me.name,
+        incarnation_of(members.hosts_version),
+        number_of(members.hosts_version),
+        members.hosts,
+    )
 
 
 def _on_journal(
@@ -257,7 +263,7 @@
         messages.TextBody: _on_body,
         messages.HostList: lambda state, said, now: membership.on_hosts(
             state.members,
-            HostsListed(said.hosts, said.version),
+            HostsListed(said.hosts, revision_of(said.store_incarnation, said.store_number)),
             now,
         ),
         messages.SlotAsk: slot_keepers.on_ask,
--- a/tests/run.py
+++ b/tests/run.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from enum import StrEnum
+from logging import ERROR, Handler, LogRecord, getLogger
 from pathlib import Path
 from subprocess import PIPE, STDOUT, TimeoutExpired
 from subprocess import run as run_process
@@ -71,6 +72,27 @@
     return Verdict.PASSED if good else Verdict.FAILED
 
 
+class _LoggedFaults(Handler):
+    """Keep what asyncio says of exceptions in callbacks and tasks.
+
+    What goes wrong without it: an exception in a callback ends nothing, so a test passes though
+    each message of a kind fails.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(ERROR)
+        self.told: list[str] = []
+
+    def emit(self, record: LogRecord) -> None:
+        """Keep one line, with the exception if there is one."""
+        fault = record.exc_info[1] if record.exc_info else None
+        self.told.append(f'{record.getMessage()}: {fault!r}')
+
+
+_LOGGED = _LoggedFaults()
+getLogger('asyncio').addHandler(_LOGGED)
+
+
 class CountOutcomes(Plugin):
     """Count the outcomes of all tests; an unexpected success is a failure."""
 
@@ -80,8 +102,16 @@
     failed = 0
     red_by_test = known_red(_KNOWN_RED.read_text(encoding='utf-8'))
 
+    def startTest(self, event: Any) -> None:  # noqa: N802
+        """Begin to watch for faults that only a log line tells."""
+        _LOGGED.told.clear()
+
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Count one test's outcome."""
+        if _LOGGED.told and event.outcome == 'passed':
+            event.outcome = 'failed'
+            named = event.test.id()
+            sys.stdout.write(f'{named} left a fault in the log: {_LOGGED.told}\n')
         test = getattr(event.test, 'test_case', event.test)
         known = self.red_by_test.get(test.id())
         verdict = verdict_on(event, known_red=known is not None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,8 +2,12 @@
 
 from unittest import TestCase
 
-from bronzekeel.core.events import HostsListed
-from bronzekeel.core.messages import HostEntry
+from bronzekeel.core.effects import Say
+from bronzekeel.core.events import HostsListed, PeerSaid
+from bronzekeel.core.messages import HostEntry, HostList
+from bronzekeel.core.reducer import reduce
+from bronzekeel.core.routing.revisions import revision_of
+from bronzekeel.wire import decode, encode
 from tests.fleets import hosts, started_fleet
 
 _DETECT_S = 6.0
@@ -114,3 +118,26 @@
         fleet.run(60)
         spent = sum(fleet.by_name['a1'].bytes_by_kind.values()) - before
         self.assertLess(spent / 60, 3000)
+
+
+class ListOfHostsTest(TestCase):
+    """Tell the list of hosts on."""
+
+    def test_a_list_of_a_restored_store_can_be_told(self) -> None:
+        """Watchers told nobody the list of hosts, and each message about it ended in an exception.
+
+        A version has the store's incarnation in its high bits and did not fit into a whole number
+        of the codec.  The log said: OverflowError, can't serialize ints < -2**63 or > 2**64 - 1.
+        """
+        fleet, _ = started_fleet()
+        version = revision_of(3, 9)
+        listed = HostsListed(tuple(hosts()), version)
+        said = []
+        for node in fleet.running:
+            for effect in reduce(node.state, listed, fleet.now):
+                if isinstance(effect, Say) and isinstance(effect.message, HostList):
+                    said.append(decode(encode(effect.message)))
+        self.assertTrue(said)
+        follower = fleet.running[-1].state
+        reduce(follower, PeerSaid(said[0]), fleet.now)
+        self.assertEqual(version, follower.members.hosts_version)
