Give no generation out twice when the platform's store comes back from a copy

After a restore the head is an old one, the text gets a number below the one in force, the submission is told as accepted, and every host leaves the text out as older, for ever. Not run on the users' platform; nobody saw it. Change: a head says in which incarnation of the store its predecessor was read; the first text of another one skips 10,000 generations for each restore. An update whose condition met the number of another incarnation is found out by the answer and submitted anew. Left: the text of another operator that such an update replaced is lost; the store's conditions cannot tell it. Tests: three fail before.

--- a/src/bronzekeel/platform/client.py
+++ b/src/bronzekeel/platform/client.py
@@ -52,7 +52,7 @@
     def stored(self, item: dict[str, Any]) -> Stored:
         """Return an object of the answer."""
         version = revision_of(self.incarnation, int(item['meta']['revision']))
-        return Stored(version, b64decode(item['spec']['content']))
+        return Stored(version, b64decode(item['spec']['content']), self.incarnation)
 
 
 class Key(Struct, frozen=True):
@@ -98,7 +98,7 @@
         place = Key.of(key)
         answer = await self._call('GET', object_target(place.kind, place.name))
         if answer.status == _NOT_FOUND:
-            return Stored(0)
+            return Stored(0, incarnation=answer.incarnation)
         _expect(answer, _OK)
         return answer.stored(answer.content)
 
--- a/src/bronzekeel/text/submission.py
+++ b/src/bronzekeel/text/submission.py
@@ -6,6 +6,10 @@
 version with the transaction that made it, and keeping what preceded it, is
 the idea of Dey, "Scalable Transactions across Heterogeneous NoSQL Key-Value
 Data Stores" (section 3.1).
+
+When the platform's store comes back from a copy, heads since are lost, and their generations with
+them, while hosts go by the last of them.  So the head says in which incarnation of the store it
+was written, and the first text of another one skips the generations that may have been lost.
 """
 
 from abc import ABC, abstractmethod
@@ -31,8 +35,15 @@
 #: Earlier submission ids that the head keeps.
 IDS_KEPT = 500
 
+#: Generations that a restore of the store may have lost at most.  Source: three days of changes at
+#: the size to design for (docs/CAPACITY.md); copies are some seconds old.
+LOST_AT_MOST = 10_000
+
 _SETTLE_TRIES = 4
 
+#: Incarnation of a store that was never restored.
+_FIRST_INCARNATION = 1
+
 
 class StoreLost(ConnectionError):
     """Tell that no answer came: a write may have taken effect."""
@@ -43,10 +54,14 @@
 
 
 class Stored(Struct, frozen=True):
-    """Hold an object as the platform has it; version 0 means there is none."""
+    """Hold an object as the platform has it; version 0 means there is none.
+
+    `incarnation` rises each time that the platform's store comes back from a copy.
+    """
 
     version: int
     body: bytes = b''
+    incarnation: int = 0
 
 
 class ObjectStore(ABC):
@@ -66,12 +81,16 @@
 
 
 class Head(Struct, frozen=True):
-    """Hold what the head object says of the accepted text."""
+    """Hold what the head object says of the accepted text.
+
+    It followed a head that was read in `incarnation` of the platform's store.
+    """
 
     generation: int
     submission: str
     parts: tuple[str, ...]
     earlier: tuple[tuple[str, int], ...] = ()
+    incarnation: int = 0
 
     def generation_of(self, submission: str) -> int | None:
         """Return the generation that a submission became, None if it did not."""
@@ -111,12 +130,31 @@
 Submitted = Accepted | Conflict | Undecided
 
 
+class _StoreRestored(Exception):  # noqa: N818 (told apart here alone)
+    """Tell that an update took effect in another incarnation than its head was read in."""
+
+
 async def read_head(store: ObjectStore) -> tuple[int, Head | None]:
     """Return the head object's version and content."""
     stored = await store.read(HEAD_KEY)
-    if not stored.version:
-        return 0, None
-    return stored.version, decode(stored.body, type=Head)
+    return stored.version, _head_in(stored)
+
+
+def _head_in(stored: Stored) -> Head | None:
+    return decode(stored.body, type=Head) if stored.version else None
+
+
+def _next_generation(stored: Stored, *, restored_meanwhile: bool) -> int:
+    """Return a generation beyond all that were ever given out.
+
+    An update that met a restored store may have replaced heads that nobody read: it skips once
+    more.
+    """
+    head = _head_in(stored)
+    generation, incarnation = (head.generation, head.incarnation) if head else (0, 0)
+    restores = stored.incarnation - max(incarnation, _FIRST_INCARNATION)
+    skips = max(restores, 0) + restored_meanwhile
+    return generation + 1 + skips * LOST_AT_MOST
 
 
 async def load_text(store: ObjectStore, head: Head) -> bytes:
@@ -147,20 +185,49 @@
     for whatever is in force.  Raises TextError, StoreRefused, and StoreLost
     when the platform was lost before anything could have been accepted.
     """
+    try:
+        return await _submit_once(store, body, submission, based_on)
+    except _StoreRestored:
+        return await _submit_again(store, body, submission)
+
+
+async def _submit_again(store: ObjectStore, body: bytes, submission: str) -> Submitted:
+    """Submit over a head that was written by the same submission and is not the newest."""
+    try:
+        return await _submit_once(store, body, submission, restored_meanwhile=True)
+    except _StoreRestored:
+        return Undecided(submission)
+
+
+async def _submit_once(
+    store: ObjectStore,
+    body: bytes,
+    submission: str,
+    based_on: int | None = None,
+    *,
+    restored_meanwhile: bool = False,
+) -> Submitted:
     document = parse_text(body)
-    version, head = await read_head(store)
-    generation = head.generation if head else 0
-    if head is not None:
+    stored = await store.read(HEAD_KEY)
+    head = _head_in(stored)
+    # A head of our own was written over a restored store, which may have lost its parts.
+    if head is not None and head.submission != submission:
         former = await load_text(store, head)
-        if based_on is not None and based_on != generation:
+        if based_on is not None and based_on != head.generation:
             lines = differences(document, parse_text(former))
-            return Conflict(generation, tuple(lines))
+            return Conflict(head.generation, tuple(lines))
         check_change(parse_text(former), document)
     names = []
     for start in range(0, len(body), PART_BYTES):
         names.append(await _write_part(store, body[start : start + PART_BYTES]))
-    latter = Head(generation + 1, submission, tuple(names), _earlier(head))
-    return await _put_head(store, latter, version, document)
+    latter = Head(
+        _next_generation(stored, restored_meanwhile=restored_meanwhile),
+        submission,
+        tuple(names),
+        _earlier(head),
+        stored.incarnation,
+    )
+    return await _put_head(store, latter, stored.version, document)
 
 
 async def _put_head(
@@ -175,6 +242,9 @@
     still be under way.  The head read back tells the first two apart by the
     submission's id; while it is unchanged the same update is sent again, which
     is harmless, since only one of the copies can find the old version.
+
+    Raises _StoreRestored: the condition is on a number that a restore gives out again, so the
+    update may have found another head than the one that was read.
     """
     lost = False
     for _ in range(_SETTLE_TRIES):
@@ -186,6 +256,7 @@
             lost = True
             written = None
         if written is not None:
+            _expect_incarnation(latter, written)
             return Accepted(latter.generation)
         outcome = await _read_back(store, latter, version, document)
         if outcome is not None:
@@ -201,14 +272,13 @@
 ) -> Submitted | None:
     """Return what the head says of a submission, None while it says nothing."""
     try:
-        found_version, head = await read_head(store)
-        if head is None or found_version == version:
+        stored = await store.read(HEAD_KEY)
+        head = _head_in(stored)
+        if head is None or stored.version == version:
             return None
-        generation = head.generation_of(latter.submission)
-        if generation is not None:
-            return Accepted(generation)
-        if head.generation - latter.generation >= IDS_KEPT:
-            return Undecided(latter.submission)
+        settled = _settled_by(head, latter, stored)
+        if settled is not None:
+            return settled
         former = await load_text(store, head)
     except (StoreLost, StoreRefused):
         return None
@@ -216,6 +286,24 @@
     return Conflict(head.generation, tuple(lines))
 
 
+def _settled_by(head: Head, latter: Head, stored: Stored) -> Submitted | None:
+    """Return what a head alone says of the submission of another, None while it says nothing."""
+    if head.submission == latter.submission:
+        _expect_incarnation(latter, stored)
+    generation = head.generation_of(latter.submission)
+    if generation is not None:
+        return Accepted(generation)
+    if head.generation - latter.generation >= IDS_KEPT:
+        return Undecided(latter.submission)
+    return None
+
+
+def _expect_incarnation(latter: Head, stored: Stored) -> None:
+    """Raise _StoreRestored if a head stands in another incarnation than it was made for."""
+    if stored.incarnation != latter.incarnation:
+        raise _StoreRestored
+
+
 def _earlier(head: Head | None) -> tuple[tuple[str, int], ...]:
     if head is None:
         return ()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -11,10 +11,12 @@
 from bronzekeel.core.messages import TextBody, TextPull
 from bronzekeel.core.rollout.reducer import ask_whole, on_text, on_text_pull, rebuild
 from bronzekeel.core.rollout.state import Rollout
+from bronzekeel.core.routing.revisions import number_of, revision_of
 from bronzekeel.core.state import BalancerState
 from bronzekeel.replay.fleet import Fleet
 from bronzekeel.text.model import Document, ServiceText, UpstreamText
 from bronzekeel.text.submission import (
+    LOST_AT_MOST,
     Accepted,
     Conflict,
     ObjectStore,
@@ -33,7 +35,9 @@
 class FakeStore(ObjectStore):
     """Hold objects in memory; `faults` are raised by the next writes of the head.
 
-    A fault of 'lost' comes after the write took effect, 'lost_before' before.
+    A fault of 'lost' comes after the write took effect, 'lost_before' before; at 'restored' the
+    store comes back from its copy and another operator is first.  Conditions are on the store's own
+    numbers, which a restore gives out again.
     """
 
     def __init__(self) -> None:
@@ -41,12 +45,21 @@
         self.objects: dict[str, Stored] = {}
         self.faults: list[str] = []
         self.down = False
+        self.incarnation = 1
+        self.copy: dict[str, Stored] = {}
 
     async def read(self, key: str) -> Stored:
         """Return an object."""
         if self.down:
             raise StoreRefused('down')
-        return self.objects.get(key, Stored(0))
+        held = self.objects.get(key, Stored(0))
+        version = revision_of(self.incarnation, number_of(held.version)) if held.version else 0
+        return Stored(version, held.body, self.incarnation)
+
+    def restore(self) -> None:
+        """Come back from the copy."""
+        self.incarnation += 1
+        self.objects = self.copy.copy()
 
     async def write(self, key: str, body: bytes, version: int) -> Stored | None:
         """Replace an object at a version."""
@@ -57,10 +70,14 @@
             fault = self.faults.pop(0)
         if fault == 'lost_before':
             raise StoreLost('lost')
+        if fault == 'restored':
+            self.restore()
+            await submit(self, text(6), 'another operator')
         held = self.objects.get(key, Stored(0))
-        if held.version != version:
+        if number_of(held.version) != number_of(version):
             return None
-        written = Stored(version + 1, body)
+        made_at = revision_of(self.incarnation, number_of(version) + 1)
+        written = Stored(made_at, body, self.incarnation)
         self.objects[key] = written
         if fault == 'lost':
             raise StoreLost('lost')
@@ -124,6 +141,53 @@
         self.assertEqual(Undecided('two'), outcome)
         self.assertIn('--settle two', outcome.remedy)
 
+    def test_a_text_submitted_to_a_restored_store_is_newer(self) -> None:
+        """An operator's text was accepted and never in force.
+
+        The store had come back from a copy, and the text got the number after the copy's, which
+        is less than that of the text in force; hosts left it out as older.
+        """
+        store = FakeStore()
+        run(submit(store, text(2), 'one'))
+        store.copy = store.objects.copy()
+        for number in range(3, 7):
+            run(submit(store, text(number), f'submission {number}'))
+        for _ in range(2):
+            store.restore()
+            again = run(submit(store, text(7), 'again'))
+            if not isinstance(again, Accepted):
+                self.fail(f'not accepted: {again}')
+            self.assertGreater(again.generation, 5)
+        after = run(submit(store, text(8), 'after'))
+        self.assertEqual(Accepted(again.generation + 1), after)
+
+    def test_an_empty_copy_gives_no_number_out_again(self) -> None:
+        """The copy was made before the first text."""
+        store = FakeStore()
+        for number in range(2, 6):
+            run(submit(store, text(number), f'submission {number}'))
+        store.restore()
+        again = run(submit(store, text(7), 'again'))
+        self.assertGreater(again.generation if isinstance(again, Accepted) else 0, 4)
+
+    def test_an_update_that_met_a_restored_store_is_made_anew(self) -> None:
+        """An operator was told a number under which no host would take the text.
+
+        Between the reading of the head and its update the store came back from a copy, and another
+        operator's text got the number that the update's condition names.
+        """
+        store = FakeStore()
+        run(submit(store, text(2), 'one'))
+        store.copy = store.objects.copy()
+        run(submit(store, text(3), 'two'))
+        store.faults = ['restored']
+        accepted = run(submit(store, text(4), 'three'))
+        _, head = run(read_head(store))
+        if head is None or not isinstance(accepted, Accepted):
+            self.fail(f'not accepted: {accepted}')
+        self.assertEqual((accepted.generation, 'three'), (head.generation, head.submission))
+        self.assertGreater(accepted.generation, 2 + LOST_AT_MOST)
+
     def test_large_text_is_never_half_seen(self) -> None:
         """Symptom: a balancer reads half of a text.
 
