Give upstreams of the demo's site ports that no other upstream has

Cause: ports for datagrams and for streams are given out each for themselves; an upstream of requests got the number of a flow's, and the text that named both was refused. It failed test_lying_health_service_is_overruled_over_grpc once in a full run (10 upstreams of each kind: reckoned at one run of this module in thirty); the log named both places. Change: an endpoint that another upstream of the site has is given back and another taken. Conclusion: traced and mended.

--- a/src/bronzekeel/demo/site.py
+++ b/src/bronzekeel/demo/site.py
@@ -70,10 +70,16 @@
         if address is not None:
             flow = FlowUpstream(address, self.answer_to)
             endpoint = await flow.open()
+            while endpoint in self._endpoints():
+                flow.close()
+                endpoint = await flow.open()
             self.flow_upstreams.setdefault(service, {})[endpoint] = flow
             return endpoint
         upstream = RequestUpstream(self.random)
         endpoint = await upstream.open()
+        while endpoint in self._endpoints():
+            await upstream.close()
+            endpoint = await upstream.open()
         self.request_upstreams.setdefault(service, {})[endpoint] = upstream
         return endpoint
 
@@ -146,6 +152,17 @@
                 await upstream.close()
         await self.platform.close()
 
+    def _endpoints(self) -> set[str]:
+        """Return the endpoints of all upstreams.
+
+        Ports for datagrams and for streams are given out each for themselves, so an upstream of
+        requests may get the number of a flow's; a text with both is refused.
+        """
+        endpoints: set[str] = set()
+        for kind in (self.flow_upstreams, self.request_upstreams):
+            endpoints.update(*kind.values())
+        return endpoints
+
     def _placed(self, service: str) -> dict[str, tuple[UpstreamText, ...]]:
         endpoints = self.flow_upstreams.get(service) or self.request_upstreams[service]
         placed: dict[str, list[UpstreamText]] = {}
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -23,8 +23,9 @@
 from bronzekeel.balancer.settings import Settings
 from bronzekeel.balancer.web import StatusServer
 from bronzekeel.core.effects import Effect
-from bronzekeel.demo.site import REPLIES, Site
+from bronzekeel.demo.site import CHECKS, INTAKE, REPLIES, Site
 from bronzekeel.replay.recorded import is_recorded, replay_recorded
+from bronzekeel.standins.upstream import RequestUpstream
 from bronzekeel.text.submission import Accepted
 
 _PATIENCE_S = 20.0
@@ -67,6 +68,34 @@
     await site.close()
 
 
+class SiteTest(TestCase):
+    """Set up what the daemons are tested with."""
+
+    def test_upstreams_of_two_kinds_share_no_port(self) -> None:
+        """A run failed once before any balancer was asked: its text was refused.
+
+        A flow's upstream had a port for datagrams, and the kernel gave the same number to an
+        upstream of requests for streams.  The text said: 127.0.0.1:37469 is also at
+        $.services.evidence-intake.upstreams.utrecht[0], give each upstream an address of its own.
+        """
+        run(self._open_two())
+
+    async def _open_two(self) -> None:
+        site = Site(Random(1))
+        flows = await site.add_upstream(INTAKE)
+        port = int(flows.rpartition(':')[2])
+        free = RequestUpstream.open
+        ports = iter((port, 0))
+
+        async def meet(upstream: RequestUpstream) -> str:  # noqa: WPS430 (stands for the kernel)
+            return await free(upstream, next(ports))
+
+        with patch.object(RequestUpstream, 'open', meet):
+            requests = await site.add_upstream(CHECKS)
+        self.assertNotEqual(flows, requests)
+        await site.close()
+
+
 class DaemonTest(TestCase):
     """Use real sockets."""
 
