Let the soak's store come back from a copy

The news of the platform, as a fault of the soak: a copy is made, five texts and whatever else comes are written, the store is away for half a second and comes back without them; owners write again after 1.2 s, and operators one text more. The stand-in notes no change where a write changes nothing.

--- a/src/bronzekeel/soak/faults.py
+++ b/src/bronzekeel/soak/faults.py
@@ -29,6 +29,7 @@
     HistoryDropped,
     StoreDown,
     StoreRefusing,
+    StoreRestored,
     StoreSlow,
 )
 from bronzekeel.soak.upstream_faults import (
@@ -59,6 +60,7 @@
     StoreSlow,
     StoreRefusing,
     HistoryDropped,
+    StoreRestored,
     UpstreamCrashed,
     AddressReused,
     UpstreamReplaced,
--- a/src/bronzekeel/soak/store_faults.py
+++ b/src/bronzekeel/soak/store_faults.py
@@ -3,7 +3,10 @@
 from abc import abstractmethod
 from asyncio import sleep
 
+from bronzekeel.platform.calls import EVACUATIONS_KIND
 from bronzekeel.soak.fault import Fault
+from bronzekeel.soak.site import CENTRES
+from bronzekeel.standins.store_copy import copy_of, restore
 
 
 _USUAL_S = 0.002
@@ -11,6 +14,12 @@
 _CALLS_LEFT = 3
 _LAPSED = 2
 
+#: Seconds for which a store that comes back from a copy is away, and until its owners have written
+#: again what it has lost.  Source: the users' drill, and how often their upstreams write.
+_AWAY_S = 0.5
+_LOST_TEXTS = 5
+_WRITTEN_AGAIN_S = 1.2
+
 
 class _StoreFault(Fault):
     """Disturb the store for everybody."""
@@ -81,3 +90,48 @@
     async def switch(self, *, on: bool) -> None:
         """Forget."""
         self.site.store.compact()
+
+
+class StoreRestored(_StoreFault):
+    """The store comes back from a copy; what was written since the fault began is lost.
+
+    Some texts are among that.  Operators and upstreams write theirs again after a moment, and one
+    more text, whose revision is less than hosts knew before.
+    """
+
+    kind = 'store_restored'
+
+    async def switch(self, *, on: bool) -> None:
+        """Make the copy, or come back from it."""
+        store = self.site.store
+        if on:
+            self._copy = copy_of(store)
+            await self._change_texts(_LOST_TEXTS)
+            return
+        await store.switch(down=True)
+        restore(store, self._copy)
+        await sleep(_AWAY_S)
+        await store.switch(down=False)
+        await sleep(_WRITTEN_AGAIN_S)
+        await self._write_again()
+        await self._change_texts(1)
+
+    async def _change_texts(self, count: int) -> None:
+        for _ in range(count):
+            await self.site.texts.change()
+            self.site.allow_routes()
+
+    async def _write_again(self) -> None:
+        await self.site.texts.write_again()
+        for upstream in self.site.upstreams.values():
+            if upstream.alive:
+                leaves = upstream.drained_at is not None
+                await self.site.list_upstream(upstream, draining=leaves)
+            else:
+                await self.site.unlist_upstream(upstream)
+        for centre in CENTRES:
+            if centre in self.site.evacuated_at_by_centre:
+                self.site.store.put_object(EVACUATIONS_KIND, centre, {})
+            else:
+                self.site.store.remove_object(EVACUATIONS_KIND, centre)
+        await self.site.store.tell()
--- a/src/bronzekeel/soak/texts.py
+++ b/src/bronzekeel/soak/texts.py
@@ -36,6 +36,7 @@
         self._store = store
         self._version = 0
         self._extra = 0
+        self._service_by_address: dict[Address, str] = {}
         self._ever_by_service: dict[str, set[Address]] = {}
 
     def routes_of(self, service: str) -> set[Address]:
@@ -52,9 +53,15 @@
             service_by_address[loopback('198.19', number), _CHANGING_PORT] = 'portal'
         for address, service in service_by_address.items():
             self.routes_of(service).add(address)
+        self._service_by_address = service_by_address
         self._store.put_text(self._version, service_by_address)
         dropped = self.changes[-1].added if self.changes else None
         change = Change(self._version, added, dropped)
         self.changes.append(change)
         await self._store.tell()
         return change
+
+    async def write_again(self) -> None:
+        """Write the newest text as it was, for a store that has lost it."""
+        self._store.put_text(self._version, self._service_by_address)
+        await self._store.tell()
--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -158,6 +158,8 @@
         if held is None:
             held = HeldObject(kind, name, self.revision + 1)
             self.by_place[kind, name] = held
+        elif held.spec == spec:
+            return held.revision
         held.spec = spec
         return self._note(held)
 
