Take a listing when it is whole

Change: the pages of a listing are kept and taken together, the removals with them. Test: test_a_listing_that_is_not_whole_is_not_told, fails before.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
+from bronzekeel.core.routing.events import StoredObject
 from bronzekeel.core.routing.revisions import incarnation_of, is_same_incarnation
 from bronzekeel.core.store_waits import ANSWER_S, PROVING_WATCH_S, WATCH_S, retry_wait_s
 
@@ -47,10 +48,11 @@
     `revision` is the store's revision that is known here, `watched_from` the one from which the
     last watch began; a page was read at `answered_at`.
     At `current_until` the last answer no longer proves that the view is current; at
-    `doubtful_at` the watch must have told what a peer has told.  The listing in progress
-    `has_gaps` when objects of it have no name that can be read.  Until `rests_until` no call is
-    made; `stale` tells that the last one was.  `relistings` counts the lists that were needed
-    since a watch was last answered; the next call `must_list` when no watch can go on.
+    `doubtful_at` the watch must have told what a peer has told.  The listing in progress has
+    the `objects` of its pages so far, read from `listing_revision` on; it `has_gaps` when some have
+    no name that can be read.  Until `rests_until` no call is made; `stale` tells that the last one
+    was.  `relistings` counts the lists that were needed since a watch was last answered; the next
+    call `must_list` when no watch can go on.
     """
 
     __slots__ = (
@@ -60,12 +62,12 @@
         'current_until',
         'doubtful_at',
         'failures',
-        'found',
         'has_gaps',
         'listed',
         'listing_revision',
         'lost',
         'must_list',
+        'objects',
         'paused',
         'relistings',
         'rests_until',
@@ -83,12 +85,12 @@
         self.current_until: float = 0
         self.doubtful_at: float | None = None
         self.failures = 0
-        self.found: set[str] = set()
         self.has_gaps = False
         self.listed = False
         self.listing_revision: int | None = None
         self.lost = False
         self.must_list = False
+        self.objects: list[StoredObject] = []
         self.paused = False
         self.relistings = 0
         self.rests_until: float | None = None
@@ -163,7 +165,7 @@
         The first listing of all is stale: a host that starts catches up by its watch, or by what
         its peers tell.  One after lost history must be newer than what is known.
         """
-        self.found = set()
+        self.objects = []
         self.has_gaps = False
         self.listing_revision = None
         self.retry_at = None
@@ -194,18 +196,25 @@
             return True
         return is_same_incarnation(revision, self.listing_revision)
 
-    def next_page(self, names: list[str], revision: int) -> Effect:
-        """Ask for the page after one with `names`."""
-        self._note_page(names, revision)
-        return ReadPage(self.collection, names[-1], stale=self.stale)
+    def add_page(self, objects: list[StoredObject], revision: int) -> str:
+        """Add a page to the listing; return the last name on it, if it has any."""
+        if self.listing_revision is None:
+            self.listing_revision = revision
+        self.objects.extend(objects)
+        names = [listed.name for listed in objects if listed.name]
+        self.has_gaps |= len(names) < len(objects)
+        return names[-1] if names else ''
+
+    def next_page(self, after: str) -> Effect:
+        """Ask for the page after a name."""
+        return ReadPage(self.collection, after, stale=self.stale)
 
-    def end_listing(self, names: list[str], revision: int) -> None:
-        """Take the last page.
+    def end_listing(self, revision: int) -> None:
+        """Note that the listing is whole.
 
         Watching from the first page's revision repeats changes made while
         pages were read instead of missing them.
         """
-        self._note_page(names, revision)
         self.revision = max(self.revision, self.listing_revision or revision)
         self.listed = True
 
@@ -269,8 +278,3 @@
         self.rests_until = None
         self.doubtful_at = None
         self.current_until = next_call_at + WATCH_S + ANSWER_S
-
-    def _note_page(self, names: list[str], revision: int) -> None:
-        if self.listing_revision is None:
-            self.listing_revision = revision
-        self.found.update(names)
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -107,25 +107,35 @@
     # Pages of two incarnations make no whole: what joined between them would look removed.
     if not follower.is_page_of_listing(event.revision):
         return [*effects, follower.begin_listing()]
+    last_name = follower.add_page(event.objects, event.revision)
+    if event.more and last_name:
+        return [*effects, follower.next_page(last_name)]
+    follower.end_listing(event.revision)
+    effects.extend(_take_listing(state, follower, now))
+    effects.extend(become_ready(state, now))
+    if follower.stale:
+        follower.listen(now + LISTEN_S)
+        return effects
+    effects.extend(_go_on(state, follower, now))
+    return effects
+
+
+def _take_listing(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
+    """Take a listing that is whole.
+
+    What goes wrong with a page at a time: the newest revision on it is told to peers before the
+    other pages are read, and those that have fetched up to there ask for nothing more.
+    """
     if follower.collection is Collection.UPSTREAMS:
-        note_restored(state, event.revision, now)
-    for stored in event.objects:
+        note_restored(state, follower.listing_revision or 0, now)
+    effects: list[Effect] = []
+    for stored in follower.objects:
         effects.extend(_take(state, follower, stored, now))
-    names = [listed.name for listed in event.objects if listed.name]
-    follower.has_gaps |= len(names) < len(event.objects)
-    if event.more and names:
-        effects.append(follower.next_page(names, event.revision))
-        return effects
-    follower.end_listing(names, event.revision)
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
     if follower.collection is Collection.EVACUATIONS:
         effects.extend(take_evacuated(state, _listed_evacuated(state, follower), STORE, now))
-    effects.extend(become_ready(state, now))
-    if follower.stale:
-        follower.listen(now + LISTEN_S)
-        return effects
-    effects.extend(_go_on(state, follower, now))
+    follower.objects = []
     return effects
 
 
@@ -283,8 +293,9 @@
     if follower.has_gaps:
         return effects
     revision = follower.listing_revision or 0
+    found = {listed.name for listed in follower.objects}
     for name in list(state.directory.by_name):
-        if name in follower.found:
+        if name in found:
             continue
         effects.extend(take_removal(state, name, revision, now))
     return effects
@@ -296,7 +307,8 @@
     One whose names could not all be read ends none of those that are known.
     """
     known = state.evacuated if follower.has_gaps else NOTHING_EVACUATED
-    return Evacuated(follower.listing_revision or 0, known.centres.union(follower.found))
+    found = {listed.name for listed in follower.objects if listed.name}
+    return Evacuated(follower.listing_revision or 0, known.centres.union(found))
 
 
 def _on_probe(state: RoutingState, event: ProbeAnswered, now: float) -> list[Effect]:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -20,8 +20,10 @@
     ViewFetched,
 )
 from bronzekeel.core.routing.follower import LISTEN_S, Collection, Follower
-from bronzekeel.core.routing.messages import View
+from bronzekeel.core.routing.messages import Known, View
 from bronzekeel.core.routing.reducer import reduce
+from bronzekeel.core.routing.sharing import view_since
+from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.stopping import REFUSALS, Stopping
 from bronzekeel.core.store_waits import FIRST_WAIT_S, MOST_WAIT_S, MOST_WAIT_UNREAD_S
 from bronzekeel.entry.loop import PauseDetector
@@ -79,6 +81,27 @@
         revisions = {watch.collection: watch.revision for watch in of_kind(effects, WatchChanges)}
         self.assertEqual(9, revisions[Collection.UPSTREAMS])
 
+    def test_a_listing_that_is_not_whole_is_not_told(self) -> None:
+        """An upstream that was leaving got new flows from hosts that learn from a neighbour.
+
+        The neighbour listed anew, in two pages.  Between them it told its newest revision, which
+        was on the first page, and a view without what was on the second; who had taken that asked
+        for nothing more.
+        """
+        teller = ready_state(entry(1), entry(2))
+        reduce(teller, HistoryLost(Collection.UPSTREAMS), 1)
+        newest = entry(1, revision=50)
+        first = PageRead(
+            Collection.UPSTREAMS, [StoredObject(newest.name, 50, newest)], 50, more=True
+        )
+        reduce(teller, first, 1)
+        asker = ready_state(entry(1), entry(2))
+        self._ask(asker, teller)
+        leaving = entry(2, revision=45, draining=True)
+        reduce(teller, page(Collection.UPSTREAMS, leaving), 1)
+        self._ask(asker, teller)
+        self.assertTrue(asker.directory.by_name[entry(2).name].entry.draining)
+
     def test_not_ready_without_a_text(self) -> None:
         """Upstreams alone are not enough to take traffic."""
         state = fresh_state()
@@ -117,6 +140,12 @@
         self.assertEqual(2, state.directory.listed_count)
         self.assertIsNotNone(state.text)
 
+    def _ask(self, asker: RoutingState, teller: RoutingState) -> None:
+        """Let a host take what another has beyond its own newest revision."""
+        revision = asker.directory.newest_revision
+        known = Known(asker.text_order, revision, revision)
+        reduce(asker, ViewFetched(('b1', 9), view_since(teller, known, 1)), 1)
+
 
 class FailureTest(TestCase):
     """Calls that give nothing."""
