Forget warm upstreams alone of what was sent to cold ones

Change: those that are warm are forgotten; the rank of host and upstream is the one that the watchers have, in place of a second spelling.

--- a/src/bronzekeel/core/routing/cold_starts.py
+++ b/src/bronzekeel/core/routing/cold_starts.py
@@ -14,10 +14,9 @@
 """
 
 from collections import deque
-from zlib import crc32
 
 from bronzekeel.core.routing.model import Upstream
-from bronzekeel.core.routing.peers import PeerTable
+from bronzekeel.core.routing.peers import PeerTable, rank_of
 
 
 #: Seconds from its start for which a host sends nothing to cold upstreams with a stated rate.
@@ -37,16 +36,20 @@
 #: takes to tell of a new host.
 _REMEMBERED_S = 0.25
 
-#: Upstreams of which it is remembered at most.
-_MOST_REMEMBERED = 4096
+#: Upstreams that are remembered before those that are warm by now are forgotten.
+_MANY_REMEMBERED = 4096
 
 
 class _Sent:
-    """Hold whether this host sends to an upstream, until when that holds, and when it did."""
+    """Hold whether this host sends to an upstream, until when that holds, and when it did.
 
-    __slots__ = ('at', 'is_sender', 'known_until')
+    The upstream is cold until `warm_at`.
+    """
+
+    __slots__ = ('at', 'is_sender', 'known_until', 'warm_at')
 
     def __init__(self) -> None:
+        self.warm_at: float = 0
         self.is_sender = False
         self.known_until: float = 0
         self.at: deque[float] = deque()
@@ -74,6 +77,7 @@
         self._alone = alone
         self._started_at: float = 0
         self._sent_by_name: dict[str, _Sent] = {}
+        self._forget_beyond = _MANY_REMEMBERED
 
     def begin(self, now: float) -> None:
         """Note the start of this host."""
@@ -102,14 +106,22 @@
         return min(rate, (rate * self._overage + self._slack) / _SENDERS)
 
     def _sent_to(self, upstream: Upstream, now: float) -> _Sent:
-        if len(self._sent_by_name) > _MOST_REMEMBERED:
-            self._sent_by_name.clear()
+        if len(self._sent_by_name) > self._forget_beyond:
+            self._forget_warm(now)
         sent = self._sent_by_name.setdefault(upstream.entry.name, _Sent())
+        sent.warm_at = upstream.warm_at
         if now >= sent.known_until:
             sent.known_until = now + _REMEMBERED_S
             sent.is_sender = self._is_sender(upstream, now)
         return sent
 
+    def _forget_warm(self, now: float) -> None:
+        """Forget the upstreams that are warm; what was sent to the others still counts."""
+        for name, sent in list(self._sent_by_name.items()):
+            if now >= sent.warm_at:
+                self._sent_by_name.pop(name)
+        self._forget_beyond = max(_MANY_REMEMBERED, 2 * len(self._sent_by_name))
+
     def _is_sender(self, upstream: Upstream, now: float) -> bool:
         """Whether this host is the one of all that were heard lately that sends there."""
         me = self._peers.me
@@ -120,8 +132,5 @@
             return self._alone
         near = {peer.address.name for peer in known if peer.address.data_centre == me.data_centre}
         near.add(me.name)
-        return me.name == max(near, key=lambda name: _rank(upstream.entry.name, name))
-
-
-def _rank(upstream: str, host: str) -> tuple[int, str]:
-    return crc32(f'{upstream}/{host}'.encode()), host
+        starting = upstream.entry.name
+        return me.name == max(near, key=lambda name: rank_of(f'{starting}/{name}'))
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -100,6 +100,25 @@
         self.assertLessEqual(sent, 6)
         self.assertGreaterEqual(sent, 4)
 
+    def test_many_upstreams_take_no_memory_of_what_was_sent(self) -> None:
+        """A cold upstream could get twice its rate where a host sends to thousands of others.
+
+        What was sent to each is remembered for a second; beyond some thousands of upstreams all of
+        it was forgotten at once, and the window of each began anew.
+        """
+        alone = ColdStarts(PeerTable(_peer(0), ()), 1, 0, alone=True)
+        alone.begin(0)
+        upstream = _cold(1, cold_s=60)
+        sent = 0
+        for step in range(100):
+            now = SETTLING_S + step * _STEP_S
+            for number in range(2, 100):
+                alone.may_take(_cold(step * 100 + number, cold_s=60), _RATE, now)
+            if alone.may_take(upstream, _RATE, now):
+                alone.note_placed(upstream, now)
+                sent += 1
+        self.assertLessEqual(sent, _RATE)
+
     def test_a_host_elsewhere_sends_nothing(self) -> None:
         """Another data centre's cold upstreams are left to its own hosts."""
         alone = ColdStarts(PeerTable(_peer(0), ()), alone=True)
