Renew the watches of a host that stood still through a restore

Found by reading: after a pause nothing counts as current, and only current watches were made anew when one answer told of a restore; the others waited for numbers that the store had yet to give out again, up to ten seconds. Peers' word would have shortened it to half a second where there are any. Change: every watch that waits is renewed.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -147,7 +147,8 @@
         What goes wrong without it: a watch that began in a former one waits for changes beyond
         a number that the store has yet to give out again, and hears of none before.
         """
-        if self.is_current(now) and incarnation_of(self.watched_from) < incarnation:
+        waits = self.listed and not self.paused and self.retry_at is None
+        if waits and incarnation_of(self.watched_from) < incarnation:
             self.doubtful_at = now
 
     def is_doubtful(self, now: float) -> bool:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -12,6 +12,7 @@
     HeartbeatHeard,
     HistoryLost,
     PageRead,
+    Paused,
     StoredObject,
     Ticked,
     ViewFetched,
@@ -309,6 +310,23 @@
         ]
         self.assertEqual({Collection.UPSTREAMS, Collection.EVACUATIONS}, set(renewed))
 
+    def test_watches_that_waited_through_a_pause_are_renewed(self) -> None:
+        """A host that stood still through the restore was deaf for as long as a watch waits.
+
+        After the pause nothing counted as current, and only current watches were made anew.
+        """
+        state = known_state(1, 2)
+        for collection in Collection:
+            reduce(state, changes(collection, _FIRST), 1.5)
+        reduce(state, Paused(4), 2)
+        reduce(state, changes(Collection.TEXT, _SECOND), 2)
+        renewed = [
+            effect.collection
+            for effect in reduce(state, Ticked(), 2.1)
+            if isinstance(effect, WatchChanges)
+        ]
+        self.assertEqual({Collection.UPSTREAMS, Collection.EVACUATIONS}, set(renewed))
+
     def test_an_answer_from_before_the_restore_is_left_out(self) -> None:
         """A copy of the store that is behind answers a host that knows of the restore."""
         state = known_state(1, 2)
