Doubt a copy's entries anew after each restore, and former starts in it for longer

Found by reading. A second restore within seconds passed for the upstream's own word, so a leaving was taken back; an entry of a former start, which a copy may have, was believed after three seconds, though that of a process that is gone lapses after 3.6 s, and all that was known of the newest start was dropped. Change: a doubt holds for one incarnation; older starts of another incarnation have five seconds, as leavings have.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -212,12 +212,14 @@
         """Put a new start in the place of a former one; return whether that is done.
 
         What goes wrong without the wait: a call of the former process is carried out after
-        those of the new one, and takes everybody back.  An older start that stays is that of a
-        host whose clock was set back.
+        those of the new one, or the store comes back from a copy, and takes everybody back.  An
+        older start that stays is that of a host whose clock was set back.
         """
         doubted = self._doubted_by_name.get(entry.name)
         if entry.started_ms < former.started_ms:
-            believed_at = doubted.believed_at if doubted else now + OLDER_START_S
+            copied = not is_same_incarnation(former.revision, entry.revision)
+            wait_s = COPY_DOUBTED_S if copied else OLDER_START_S
+            believed_at = doubted.believed_at if doubted else now + wait_s
             if now < believed_at:
                 self._doubted_by_name[entry.name] = _DoubtedEntry(entry, believed_at)
                 return False
@@ -234,7 +236,7 @@
         address after that.  A second word of the same incarnation was written since the restore.
         """
         doubted = self._doubted_by_name.get(entry.name)
-        if doubted is None:
+        if doubted is None or not is_same_incarnation(doubted.entry.revision, entry.revision):
             self._doubted_by_name[entry.name] = _DoubtedEntry(entry, now + COPY_DOUBTED_S)
             return True
         return now < doubted.believed_at and entry.revision <= doubted.entry.revision
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -35,8 +35,8 @@
     data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
     which entries the store no longer has.  It was started at `started_at`.  Shares of flows are
     settled at `reckon_at`; this balancer `reckons` them itself when other data centres
-    tell it what their callers ask for.  `store_record` counts what the
-    store told in vain."""
+    tell it what their callers ask for.  `store_record` has what the
+    store itself has answered."""
 
     __slots__ = (
         'admission',
--- a/src/bronzekeel/core/routing/store_record.py
+++ b/src/bronzekeel/core/routing/store_record.py
@@ -1,15 +1,12 @@
-"""Keep what operators ask about the store's answers, for log and metrics.
-
-Nothing is decided by it.
-"""
+"""Keep which incarnation of the store has answered, and counts for metrics."""
 
 
 class StoreRecord:
-    """Hold the newest incarnation of the store that answered, and count what it told in vain.
+    """Hold the newest `incarnation` of the store that answered, and count what it told in vain.
 
-    It is None before the first answer.  `histories_lost` counts watches
-    that could not go on, `texts_refused` texts that were not put in force, and
-    `unreadable_objects` what could not be read.
+    It is None before the first answer.  `histories_lost` counts watches that could not go on,
+    `texts_refused` texts that were not put in force, and `unreadable_objects` what could not be
+    read.
     """
 
     __slots__ = ('histories_lost', 'incarnation', 'texts_refused', 'unreadable_objects')
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -19,7 +19,7 @@
 )
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, Known, PeerAddress
-from bronzekeel.core.routing.model import RoutingText
+from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.reducer import reduce
 from bronzekeel.core.routing.revisions import revision_of
 from bronzekeel.core.routing.sharing import view_since
@@ -412,6 +412,38 @@
         reduce(state, ChangesRead(Collection.UPSTREAMS, [ready], told), 2.5)
         self.assertTrue(state.directory.by_name[entry(2).name].takes_flows(2.5))
 
+    def test_a_second_copy_takes_no_leaving_back_either(self) -> None:
+        """The store came back twice within seconds, both times from before the leaving."""
+        state = leaving_state()
+        relist(state, 2)
+        told = revision_of(_SECOND + 1, 2)
+        ready = entry(2, revision=told)
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        reduce(state, page(Collection.UPSTREAMS, ready), 3)
+        self.assertFalse(state.directory.by_name[entry(2).name].takes_flows(3))
+        reduce(state, Ticked(), 2.1 + COPY_DOUBTED_S)
+        leaving = state.directory.by_name[entry(2).name]
+        self.assertFalse(leaving.takes_flows(2.1 + COPY_DOUBTED_S))
+
+    def test_a_former_start_in_a_copy_is_believed_late(self) -> None:
+        """All that was known of an upstream's newest start was dropped for that of a dead one.
+
+        The copy had the entry of its former start, and stood for longer than late writes do: the
+        entry of a process that is gone lapses after 3.6 s.
+        """
+        state = known_state(1)
+        told = revision_of(_FIRST, 10)
+        newest = started_entry(7, told, 2000)
+        stored = StoredObject(newest.name, told, newest)
+        reduce(state, changes(Collection.UPSTREAMS, _FIRST, stored), 1.1)
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        former = started_entry(7, revision_of(_SECOND, 5), 1000)
+        reduce(state, page(Collection.UPSTREAMS, entry(1, revision=former.revision), former), 2)
+        for wait_s, start_ms in ((COPY_DOUBTED_S - 0.5, 2000), (COPY_DOUBTED_S, 1000)):
+            reduce(state, Ticked(), 2 + wait_s)
+            known = state.directory.by_name[newest.name].entry
+            self.assertEqual(start_ms, known.started_ms)
+
     def test_one_that_left_does_not_come_back_by_a_copy(self) -> None:
         """The copy was made before an upstream left; its address may be another service's now."""
         state = leaving_state()
@@ -443,6 +475,13 @@
         self.assertTrue(leaving.takes_flows(2 + COPY_DOUBTED_S))
 
 
+def started_entry(number: int, revision: int, started_ms: int) -> UpstreamEntry:
+    """Return the entry of one start of an upstream."""
+    told = entry(number, revision=revision)
+    told.started_ms = started_ms
+    return told
+
+
 def leaving_state() -> RoutingState:
     """Return a state that knows two upstreams, of which the second is leaving."""
     state = known_state(1, 2)
