Tell in a flow's story which texts its host left out, and what the store did

Sight for the incident's kind: explain showed no line on texts that were left out, on a restored store, on evacuations or on upstreams that started again, though each may be why a flow went where it did. Test: fails before.

--- a/src/bronzekeel/explain/story.py
+++ b/src/bronzekeel/explain/story.py
@@ -7,7 +7,13 @@
 
 
 _FLOW_EVENTS = frozenset((LogNumber.FLOW_PLACED, LogNumber.FLOW_REFUSED, LogNumber.FLOW_RESET))
-_UPSTREAM_EVENTS = frozenset((LogNumber.UPSTREAM_LISTED, LogNumber.UPSTREAM_UNLISTED))
+_UPSTREAM_EVENTS = frozenset(
+    (
+        LogNumber.UPSTREAM_LISTED,
+        LogNumber.UPSTREAM_UNLISTED,
+        LogNumber.UPSTREAM_RESTARTED,
+    ),
+)
 _HOST_EVENTS = frozenset(
     (
         LogNumber.STARTED,
@@ -15,8 +21,12 @@
         LogNumber.STOPPING,
         LogNumber.STOPPED,
         LogNumber.TEXT_IN_FORCE,
+        LogNumber.TEXT_OLDER,
         LogNumber.PLATFORM_LOST,
         LogNumber.PLATFORM_BACK,
+        LogNumber.STORE_RESTORED,
+        LogNumber.EVACUATED,
+        LogNumber.TAKEN_BACK,
         LogNumber.OVERLOADED,
         LogNumber.OVERLOAD_ENDED,
     ),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -98,6 +98,23 @@
         """A host that sees repeats only is not the one that the first went to."""
         self.assertIn('a1 saw repeats of the opening packet only', cause_of(placed(1, 'i-1', 2)))
 
+    def test_what_the_host_went_by_is_told(self) -> None:
+        """A request was handled by an old text, and nothing said that newer ones were left out.
+
+        Lines on the store, its texts and evacuations tell what a host knew when it placed a flow.
+        """
+        around = (
+            LogNumber.STORE_RESTORED,
+            LogNumber.TEXT_OLDER,
+            LogNumber.EVACUATED,
+            LogNumber.TAKEN_BACK,
+            LogNumber.UPSTREAM_RESTARTED,
+        )
+        lines = [line(event, 0.5, upstream='i-1') for event in around]
+        lines.append(line(LogNumber.TEXT_OLDER, 0.5, 'another'))
+        story = explain(_FLOW, read_lines((*lines, placed(1, 'i-1'))))
+        self.assertEqual([*around, LogNumber.FLOW_PLACED], [told.event for told in story.lines])
+
     def test_a_flow_that_nobody_logged(self) -> None:
         """What was left out is said."""
         other = line(LogNumber.FLOW_PLACED, 1, flow='1.1.1.1:1>2.2.2.2:2', left_out=7)
