Say which services' demand is controlled, and count capacity where slots were counted

Routes carry the objective, also between peers; one that cannot be read counts as none, since it must not keep a text out of force.

--- a/src/bronzekeel/core/routing/admission.py
+++ b/src/bronzekeel/core/routing/admission.py
@@ -137,7 +137,7 @@
             for upstream in self._directory.of_service(pool.service)
             if upstream.entry.data_centre == self._data_centre
         ]
-        room = slots_at(near, self._data_centre, now) * REQUESTS_A_SLOT
+        room = capacity_at(near, self._data_centre, now) * REQUESTS_A_SLOT
         if not room:
             return NO_LIMIT
         share = self.share_of(pool.service, now)
@@ -148,18 +148,18 @@
         return own + on_their_way + _stuck(near, now)
 
 
-def slots_at(upstreams: Iterable[Upstream], data_centre: str, now: float) -> float:
-    """Return the slots of a data centre that new flows may use.
+def capacity_at(upstreams: Iterable[Upstream], data_centre: str, now: float) -> float:
+    """Return the capacity of a data centre that new flows may use, in slots.
 
     Cold upstreams count for what they can do, silent ones not at all.
     """
-    slots: float = 0
+    capacity: float = 0
     for upstream in upstreams:
         if upstream.entry.data_centre != data_centre or not _counts(upstream, now):
             continue
         cold = now < upstream.warm_at
-        slots += upstream.entry.slots / COLD_FACTOR if cold else upstream.entry.slots
-    return slots
+        capacity += upstream.capacity / COLD_FACTOR if cold else upstream.capacity
+    return capacity
 
 
 def _stuck(upstreams: Sequence[Upstream], now: float) -> float:
--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -68,11 +68,15 @@
     """Hold which share of a service's new flows goes to which other data centre.
 
     A data centre keeps `tolerated` times its share of the requests; beyond it flows
-    go elsewhere from when its upstreams had `bearable` requests in progress a slot.
+    go elsewhere from when its upstreams had `bearable` requests in progress a slot.  Shares are
+    settled at `reckon_at`; this balancer `reckons` them itself when other data centres tell it
+    what their callers ask for.
     """
 
     def __init__(self) -> None:
         """Start with all flows at home."""
+        self.reckon_at: float = 0
+        self.reckons = False
         self.tolerated: float = 1
         self.bearable: float = 0
         self._strained: set[str] = set()
@@ -141,47 +145,48 @@
             centre: rate_by_service.get(service, 0)
             for centre, rate_by_service in rates_by_centre.items()
         }
-        slots_by_centre = slots_by_centre_of(directory.of_service(service))
-        share_by_centre = shares_of(home, slots_by_centre, rate_by_centre, tolerated)
+        capacity_by_centre = capacity_by_centre_of(directory.of_service(service))
+        share_by_centre = shares_of(home, capacity_by_centre, rate_by_centre, tolerated)
         for centre, share in share_by_centre.items():
             shares.append(FlowShare(service, centre, share))
     return tuple(shares)
 
 
 def load_at(directory: Directory, home: str, service: str) -> float:
-    """Return the requests in progress per slot at a service's upstreams at `home`."""
+    """Return the requests in progress per slot of capacity at a service's upstreams at `home`."""
     busy = 0
-    slots = 0
+    capacity: float = 0
     for upstream in directory.of_service(service):
         if upstream.entry.data_centre != home or not _counts(upstream):
             continue
         busy += upstream.busy_flows + upstream.busy_elsewhere
-        slots += upstream.entry.slots
-    return busy / slots if slots else 0
+        capacity += upstream.capacity
+    return busy / capacity if capacity else 0
 
 
 def shares_of(
     home: str,
-    slots_by_centre: Mapping[str, int],
+    capacity_by_centre: Mapping[str, float],
     rate_by_centre: Mapping[str, float],
     tolerated: float,
 ) -> dict[str, float]:
     """Return the share of the flows at `home` that each other data centre gets.
 
     None while `home` is asked for no more than `tolerated` times its share.  Only
-    data centres of which both rate and slots are known count.
+    data centres of which both rate and capacity are known count.
     """
-    known = [centre for centre in rate_by_centre if slots_by_centre.get(centre)]
-    slots = sum(slots_by_centre[centre] for centre in known)
+    known = [centre for centre in rate_by_centre if capacity_by_centre.get(centre)]
+    capacity = sum(capacity_by_centre[centre] for centre in known)
     rate = sum(rate_by_centre[centre] for centre in known)
     if home not in known or rate < LEAST_RATE:
         return {}
-    mean = rate / slots
-    above = rate_by_centre[home] - mean * slots_by_centre[home]
-    if rate_by_centre[home] <= tolerated * mean * slots_by_centre[home]:
+    mean = rate / capacity
+    above = rate_by_centre[home] - mean * capacity_by_centre[home]
+    if rate_by_centre[home] <= tolerated * mean * capacity_by_centre[home]:
         return {}
     below_by_centre = {
-        centre: max(0, mean * slots_by_centre[centre] - rate_by_centre[centre]) for centre in known
+        centre: max(0, mean * capacity_by_centre[centre] - rate_by_centre[centre])
+        for centre in known
     }
     room = sum(below_by_centre.values())
     if room <= 0:
@@ -190,14 +195,14 @@
     return {name: share * below for name, below in below_by_centre.items() if below > 0}
 
 
-def slots_by_centre_of(upstreams: Iterable[Upstream]) -> dict[str, int]:
-    """Return the slots of upstreams by data centre."""
-    slots_by_centre: dict[str, int] = {}
+def capacity_by_centre_of(upstreams: Iterable[Upstream]) -> dict[str, float]:
+    """Return the capacity of upstreams by data centre."""
+    capacity_by_centre: dict[str, float] = {}
     for upstream in upstreams:
         if _counts(upstream):
             centre = upstream.entry.data_centre
-            slots_by_centre[centre] = slots_by_centre.get(centre, 0) + upstream.entry.slots
-    return slots_by_centre
+            capacity_by_centre[centre] = capacity_by_centre.get(centre, 0) + upstream.capacity
+    return capacity_by_centre
 
 
 def _counts(upstream: Upstream) -> bool:
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -1,6 +1,6 @@
 """Settle where the flows of a data centre go, from what balancers tell each other."""
 
-from bronzekeel.core.routing.admission import slots_at
+from bronzekeel.core.routing.admission import capacity_at
 from bronzekeel.core.routing.balance import RECKON_S, load_at, reckoned
 from bronzekeel.core.routing.overflow import RECKON_ROOM_S, allowances_of, put_in_force
 from bronzekeel.core.routing.state import RoutingState
@@ -11,13 +11,13 @@
 
     The few hosts that other data centres tell reckon it; the others take it from them.
     """
-    if now < state.reckon_at:
+    if now < state.balance.reckon_at:
         return
-    state.reckon_at = now + RECKON_S
+    state.balance.reckon_at = now + RECKON_S
     state.balance.meter.reckon(state.flows.requests_by_service)
     rates_by_centre = state.relays.rates_elsewhere(now)
-    state.reckons = bool(rates_by_centre) and state.balance.meter.settled
-    if not state.reckons:
+    state.balance.reckons = bool(rates_by_centre) and state.balance.meter.settled
+    if not state.balance.reckons:
         state.balance.adopt(state.peers.shares_near(now))
         return
     home = state.peers.me.data_centre
@@ -63,7 +63,7 @@
     pool = state.directory.pools_by_service.get(service, {}).get(home)
     if pool is not None and pool.evacuated:
         return True
-    return not slots_at(state.directory.of_service(service), home, now)
+    return not capacity_at(state.directory.of_service(service), home, now)
 
 
 def rates_of_centre(state: RoutingState, now: float) -> dict[str, float]:
--- /dev/null
+++ b/src/bronzekeel/core/routing/demand.py
@@ -0,0 +1,13 @@
+"""Hold what is learned and decided where the demand on services is controlled."""
+
+from bronzekeel.core.routing.demand_control import DemandControl
+
+
+class Demand:
+    """Hold the parts that control demand; `control` says for which services they act."""
+
+    __slots__ = ('control',)
+
+    def __init__(self, control: DemandControl) -> None:
+        """Act for the services that `control` names."""
+        self.control = control
--- a/src/bronzekeel/core/routing/field_checks.py
+++ b/src/bronzekeel/core/routing/field_checks.py
@@ -23,6 +23,10 @@
 #: on the largest hosts.
 MOST_RATE = 1e6
 
+#: Longest latency objective in seconds that a route may state.  Source: callers who wait for
+#: longer than an hour have no objective.
+MOST_OBJECTIVE_S = 3600
+
 #: Times at most that a store has come back from a copy.  Source: a figure beyond a billion is a
 #: mistake.
 MOST_INCARNATION = 1_000_000_000
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -76,7 +76,7 @@
         _largest(busy_by_number, MOST_LOADS),
         state.peers.some_others(state.peers.me.data_centre, now),
         _largest(state.balance.meter.by_service, MOST_RATES),
-        state.balance.shares if state.reckons else None,
+        state.balance.shares if state.balance.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
         evacuated=_told_evacuated(state),
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -4,7 +4,7 @@
 the dark until its first packet is forwarded.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from zlib import crc32
 
 from bronzekeel.core.routing.pools import Pool
@@ -40,11 +40,12 @@
     """Say which services take the new flows of one address and port.
 
     `key` is the address and the port as six bytes.  Requests of the smallest `priority` go
-    first when not all can; their callers give up after `timeout_s` seconds.  They must not leave
+    first when not all can; their callers give up after `timeout_s` seconds and want an answer
+    within `objective_s`, zero if the text states none.  They must not leave
     the regions that are its `homes`; a route without homes may lead anywhere.
     """
 
-    __slots__ = ('homes', 'key', 'priority', 'seal', 'shares', 'timeout_s')
+    __slots__ = ('homes', 'key', 'objective_s', 'priority', 'seal', 'shares', 'timeout_s')
 
     def __init__(
         self,
@@ -54,6 +55,7 @@
         priority: int = 0,
         timeout_s: float = USUAL_TIMEOUT_S,
         homes: frozenset[str] = ANYWHERE,
+        objective_s: float = 0,
     ) -> None:
         """Keep the route with the `seal` that marks its connection ids."""
         self.key = key
@@ -62,6 +64,7 @@
         self.priority = priority
         self.timeout_s = timeout_s
         self.homes = homes
+        self.objective_s = objective_s
 
 
 class RoutingText:
@@ -70,12 +73,15 @@
     `order` orders texts from all sources: by `generation`, the operators'
     own number, then by `revision`.  A flow that is silent for `idle_s` seconds may be forgotten.
     A cold upstream of a service in `cold_rate_by_service` bears so many requests a second.
+    `objective_by_service` has the shortest latency objective of all routes that name a service,
+    zero if one of them states none.
     """
 
     __slots__ = (
         'cold_rate_by_service',
         'generation',
         'idle_s',
+        'objective_by_service',
         'order',
         'revision',
         'route_by_key',
@@ -96,6 +102,16 @@
         self.order = text_order_of(generation, revision)
         self.route_by_key = route_by_key
         self.idle_s = idle_s
+        self.objective_by_service = _objectives(route_by_key.values())
+
+
+def _objectives(routes: Iterable[Route]) -> dict[str, float]:
+    objective_by_service: dict[str, float] = {}
+    for route in routes:
+        for share in route.shares:
+            known = objective_by_service.get(share.service, route.objective_s)
+            objective_by_service[share.service] = min(known, route.objective_s)
+    return objective_by_service
 
 
 class UpstreamEntry:
@@ -206,7 +222,8 @@
     which it gets no new flows before `avoided_until`, `silent_until` by own sight alone; one was
     answered at `answered_at`.  `asked` counts the requests that this
     balancer saw of late, new flows too.  `pool` counts what is in progress at all upstreams of
-    its service in its data centre.
+    its service in its data centre.  `speed` is how fast it works beside the mean of its service,
+    one unless that was learned.
     """
 
     __slots__ = (
@@ -224,6 +241,7 @@
         'removed_revision',
         'shared_load',
         'silent_until',
+        'speed',
         'unanswered',
         'warm_at',
     )
@@ -246,6 +264,12 @@
         self.silent_until: float = 0
         self.answered_at: float = 0
         self.asked: float = 0
+        self.speed: float = 1
+
+    @property
+    def capacity(self) -> float:
+        """What it can work on at a time, in slots of an upstream of mean speed, once it is warm."""
+        return self.entry.slots * self.speed
 
     @property
     def listed(self) -> bool:
--- a/src/bronzekeel/core/routing/overflow.py
+++ b/src/bronzekeel/core/routing/overflow.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Container, Iterable, Mapping
 
-from bronzekeel.core.routing.balance import slots_by_centre_of
+from bronzekeel.core.routing.balance import capacity_by_centre_of
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.messages import Allowance
 from bronzekeel.core.routing.pools import NO_LIMIT, REQUESTS_A_SLOT
@@ -68,9 +68,9 @@
     for service in sorted(services):
         load_by_centre = _of_service(service, load_by_service_by_centre)
         rate_by_centre = _of_service(service, rates_by_centre)
-        slots_by_centre = slots_by_centre_of(directory.of_service(service))
-        claims = claims_of(home, slots_by_centre, rate_by_centre)
-        for centre, room in rooms_of(slots_by_centre, load_by_centre).items():
+        capacity_by_centre = capacity_by_centre_of(directory.of_service(service))
+        claims = claims_of(home, capacity_by_centre, rate_by_centre)
+        for centre, room in rooms_of(capacity_by_centre, load_by_centre).items():
             requests = max(room, claims.get(centre, 0) * REQUESTS_A_SLOT)
             allowances.append(Allowance(service, centre, requests))
     return tuple(allowances)
@@ -84,7 +84,7 @@
 
 
 def rooms_of(
-    slots_by_centre: Mapping[str, int],
+    capacity_by_centre: Mapping[str, float],
     load_by_centre: Mapping[str, float],
 ) -> dict[str, float]:
     """Return the requests that each data centre has room for, by its load.
@@ -93,14 +93,14 @@
     """
     sharers = 1 + sum(load >= LOAD_WITHOUT_ROOM for load in load_by_centre.values())
     return {
-        centre: max(0, LOAD_WITH_ROOM - load) * slots_by_centre.get(centre, 0) / sharers
+        centre: max(0, LOAD_WITH_ROOM - load) * capacity_by_centre.get(centre, 0) / sharers
         for centre, load in load_by_centre.items()
     }
 
 
 def claims_of(
     home: str,
-    slots_by_centre: Mapping[str, int],
+    capacity_by_centre: Mapping[str, float],
     rate_by_centre: Mapping[str, float],
 ) -> dict[str, float]:
     """Return the slots elsewhere that the callers at `home` may claim, by data centre.
@@ -109,20 +109,28 @@
     others leave, which is nothing in an overload, and all of its callers are refused.
     """
     rate = sum(rate_by_centre.values())
-    slots = sum(slots_by_centre.get(centre, 0) for centre in rate_by_centre)
-    if not rate or not slots:
+    capacity = sum(capacity_by_centre.get(centre, 0) for centre in rate_by_centre)
+    if not rate or not capacity:
         return {}
-    due_by_centre = {centre: slots * asked / rate for centre, asked in rate_by_centre.items()}
-    own = slots_by_centre.get(home, 0)
+    due_by_centre = {centre: capacity * asked / rate for centre, asked in rate_by_centre.items()}
+    own = capacity_by_centre.get(home, 0)
     claimed = due_by_centre.get(home, 0) - own
-    spare_by_centre = {
-        centre: max(0, slots_by_centre.get(centre, 0) - due)
-        for centre, due in due_by_centre.items()
-    }
+    spare_by_centre = _spare_of(capacity_by_centre, due_by_centre)
     spare = sum(spare_by_centre.values())
     if not spare or claimed < own * CLAIM_FACTOR:
         return {}
-    return {centre: claimed * slots / spare for centre, slots in spare_by_centre.items()}
+    return {centre: claimed * unused / spare for centre, unused in spare_by_centre.items()}
+
+
+def _spare_of(
+    capacity_by_centre: Mapping[str, float],
+    due_by_centre: Mapping[str, float],
+) -> dict[str, float]:
+    """Return the capacity of each data centre beyond what is due to its own callers."""
+    return {
+        centre: max(0, capacity_by_centre.get(centre, 0) - due)
+        for centre, due in due_by_centre.items()
+    }
 
 
 def put_in_force(
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -110,8 +110,8 @@
 
 
 def load_of(upstream: Upstream, now: float) -> float:
-    """Return the load of an upstream with one more flow, per slot."""
+    """Return the load of an upstream with one more flow, per slot of capacity."""
     load = float(1 + upstream.busy_flows)
     if now < upstream.warm_at:
         load *= COLD_FACTOR
-    return load / upstream.entry.slots + upstream.shared_load
+    return load / upstream.capacity + upstream.shared_load
--- a/src/bronzekeel/core/routing/shared_load.py
+++ b/src/bronzekeel/core/routing/shared_load.py
@@ -60,13 +60,13 @@
 def _note_loads(group: list[Upstream]) -> None:
     """Note the shared load of the upstreams of one service in one data centre."""
     listed = [upstream for upstream in group if upstream.listed] or group
-    slots = sum(upstream.entry.slots for upstream in listed)
+    capacity = sum(upstream.capacity for upstream in listed)
     busy = sum(upstream.busy_elsewhere for upstream in listed)
     for upstream in group:
-        other_slots = slots - upstream.entry.slots
+        others = capacity - upstream.capacity
         beyond: float = 0
-        if other_slots > 0:
-            usual = (busy - upstream.busy_elsewhere) / other_slots
-            load = upstream.busy_elsewhere / upstream.entry.slots
+        if others > 0:
+            usual = (busy - upstream.busy_elsewhere) / others
+            load = upstream.busy_elsewhere / upstream.capacity
             beyond = max(0, load - usual * OUTLIER_FACTOR - OUTLIER_SLACK)
         upstream.shared_load = beyond
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -5,6 +5,8 @@
 from bronzekeel.core.routing.admission import Admission, RequestsPerSlot
 from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.cold_starts import ColdStarts
+from bronzekeel.core.routing.demand import Demand
+from bronzekeel.core.routing.demand_control import DemandControl
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.eligibility import NO_REGIONS, Eligibility
 from bronzekeel.core.routing.flows import FlowTable
@@ -33,15 +35,16 @@
     A view that was asked of a peer is awaited until `fetch_until`; a peer was
     heard to know more than this balancer does at `behind_since`, and one of another
     data centre at `told_elsewhere_at`; None when none does.  It `knows_missing` when a peer told it
-    which entries the store no longer has.  It was started at `started_at`.  Shares of flows are
-    settled at `reckon_at`; this balancer `reckons` them itself when other data centres
-    tell it what their callers ask for.  `store_record` has what the
-    store itself has answered."""
+    which entries the store no longer has.  It was started at `started_at`.  `demand` has what is
+    learned and decided where demand is controlled, `store_record` what the store itself has
+    answered.
+    """
 
     __slots__ = (
         'admission',
         'balance',
         'behind_since',
+        'demand',
         'directory',
         'eligibility',
         'fetch_until',
@@ -52,8 +55,6 @@
         'overloads',
         'peers',
         'ready',
-        'reckon_at',
-        'reckons',
         'relays',
         'room',
         'shared_loads',
@@ -73,13 +74,15 @@
         order_of: type[WaitingOrder] = NewestFirst,
         region_by_centre: Mapping[str, str] = NO_REGIONS,
         cold_starts: ColdStarts | None = None,
+        demand_control: DemandControl | None = None,
     ) -> None:
         """Start knowing nothing; a stop ends after `stop_within_s` at the latest.
 
         `admission_of` limits requests in progress, and `order_of` ranks those that wait.
         `region_by_centre` has the regions of data centres, `cold_starts` limits what cold
-        upstreams get.
+        upstreams get, `demand_control` says which services' demand is controlled.
         """
+        self.demand = Demand(demand_control or DemandControl())
         self.peers = peers
         self.relays = Relays(peers)
         self.text: RoutingText | None = None
@@ -101,8 +104,6 @@
             peers,
             self.balance.meter,
         )
-        self.reckon_at: float = 0
-        self.reckons = False
         self.follower_by_collection = {
             collection: Follower(collection, peers.me.name) for collection in Collection
         }
@@ -147,6 +148,10 @@
         """Whether the store does not answer this balancer."""
         return any(follower.lost for follower in self.follower_by_collection.values())
 
+    def controls_demand(self, service: str) -> bool:
+        """Whether the demand on a service is controlled by the text in force."""
+        return self.demand.control.covers(service, self.text)
+
     def is_direct(self, now: float) -> bool:
         """Whether own watches prove that both views are as new as the store."""
         for follower in self.follower_by_collection.values():
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -64,9 +64,9 @@
 #: Largest number of an upstream: 64 bits stand before packets.
 _MOST_NUMBER = 0xFFFFFFFFFFFFFFFF
 
-#: What routes have in common that are told together: services with weights, priority, seconds,
-#: homes.
-_RouteKind = tuple[tuple[tuple[str, int], ...], int, float, tuple[str, ...]]
+#: What routes have in common that are told together: services with weights, priority, seconds
+#: to the time limit, homes, seconds of the latency objective.
+_RouteKind = tuple[tuple[tuple[str, int], ...], int, float, tuple[str, ...], float]
 
 #: Fields of an entry in the order in which they are told; the revision follows them.
 _ENTRY_FIELDS = (
@@ -264,7 +264,13 @@
     keys_by_kind: dict[_RouteKind, list[str]] = {}
     for route in text.route_by_key.values():
         shares = tuple((share.service, share.weight) for share in route.shares)
-        kind = (shares, route.priority, route.timeout_s, tuple(sorted(route.homes)))
+        kind = (
+            shares,
+            route.priority,
+            route.timeout_s,
+            tuple(sorted(route.homes)),
+            route.objective_s,
+        )
         keys_by_kind.setdefault(kind, []).append(route.key.hex())
     return {
         'generation': text.generation,
@@ -291,6 +297,7 @@
     priority: int,
     timeout_s: float,
     listed_homes: list[Any],
+    objective_s: float,
     keys_hex: str,
 ) -> Iterator[Route]:
     homes = frozenset(label('homes', region) for region in listed_homes)
@@ -298,7 +305,15 @@
     keys = bytes.fromhex(keys_hex)
     for place in range(0, len(keys), _KEY_BYTES):
         key = keys[place : place + _KEY_BYTES]
-        yield Route(key, shares, seal_of(key), int(priority), _figure_in(timeout_s), homes)
+        yield Route(
+            key,
+            shares,
+            seal_of(key),
+            int(priority),
+            _figure_in(timeout_s),
+            homes,
+            _figure_in(objective_s),
+        )
 
 
 def _entry_out(entry: UpstreamEntry) -> list[object]:
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -8,6 +8,8 @@
 from json import JSONDecodeError
 from json import loads as decode_json
 
+from bronzekeel.core.routing.demand_control import DemandControlMode
+
 
 #: Value of the setting `steering` that chooses this daemon.
 STEERING = 'connection_ids'
@@ -37,13 +39,16 @@
     `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
     `region_by_data_centre` says where upstreams of routes with homes may be.  Cold upstreams
     together get at most `cold_overage` times the stated requests a second, and `cold_slack` more.
-    `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at once.
+    `demand_control` says for which services requests are placed by learned capacity and shared
+    among callers.  `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at
+    once.
     """
 
     __slots__ = (
         'cold_overage',
         'cold_slack',
         'data_centre',
+        'demand_control',
         'link_mbps',
         'name',
         'packets',
@@ -75,6 +80,9 @@
         self.cold_slack = _figure(fields, 'cold_slack', 0)
         self.link_mbps = _figure(fields, 'link_mbps', 0)
         self.weighs = _one_of(fields, 'weighs', (BROKEN_FLOWS, IMBALANCE))
+        self.demand_control = DemandControlMode(
+            _one_of(fields, 'demand_control', tuple(DemandControlMode)),
+        )
         if fields.get('steering') != STEERING:
             raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
 
--- a/src/bronzekeel/entry/starting_state.py
+++ b/src/bronzekeel/entry/starting_state.py
@@ -1,6 +1,7 @@
 """Make the state of a balancer that starts from its settings."""
 
 from bronzekeel.core.routing.cold_starts import ColdStarts
+from bronzekeel.core.routing.demand_control import DemandControl
 from bronzekeel.core.routing.messages import PeerAddress
 from bronzekeel.core.routing.peers import PeerTable
 from bronzekeel.core.routing.state import RoutingState
@@ -21,4 +22,5 @@
         settings.stop_within_s,
         region_by_centre=settings.region_by_data_centre,
         cold_starts=cold_starts,
+        demand_control=DemandControl(settings.demand_control),
     )
--- a/src/bronzekeel/platform/objects.py
+++ b/src/bronzekeel/platform/objects.py
@@ -3,6 +3,7 @@
 Its names are decoded here once.  Those that mislead:
 
 - `pathPrefix` of a route is a port between slashes, `host` an IP number;
+- `sloMs` of a route is the latency that its callers want;
 - `storeRevision` is the store's newest revision, `revision` an object's;
 - the header `Store-Era` has the store's incarnation, zero where it is not told.
 """
@@ -32,6 +33,7 @@
     ServiceShare,
 )
 from bronzekeel.core.routing.field_checks import (
+    MOST_OBJECTIVE_S,
     MOST_RATE,
     figure,
     label,
@@ -220,4 +222,17 @@
         int(item.get('priority') or 0),
         timeout_ms / _MS if timeout_ms > 0 else USUAL_TIMEOUT_S,
         frozenset(label('allowedRegions', region) for region in item.get('allowedRegions') or ()),
+        _objective_s(item),
     )
+
+
+def _objective_s(item: dict[str, Any]) -> float:
+    """Return the latency objective of a route, zero if it states none.
+
+    One that cannot be read counts as none: it must not keep the text from being in force.
+    """
+    found = item.get('sloMs')
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        return 0
+    objective_s = found / _MS
+    return objective_s if 0 < objective_s <= MOST_OBJECTIVE_S else 0
--- /dev/null
+++ b/tests/test_demand_control.py
@@ -0,0 +1,64 @@
+"""Which services have their demand controlled: by their text's objectives, or as a setting says."""
+
+from unittest import TestCase
+
+from bronzekeel.core.routing.connection_ids import seal_of
+from bronzekeel.core.routing.demand_control import (
+    LEAST_OBJECTIVE_S,
+    DemandControl,
+    DemandControlMode,
+)
+from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare
+from bronzekeel.entry.peer_messages import decode_view, encode_view
+from bronzekeel.core.routing.messages import View
+
+
+_KEY = bytes((198, 18, 0, 1, 1, 187))
+_OTHER_KEY = bytes((198, 18, 0, 1, 1, 188))
+
+
+def _route(key: bytes, objective_s: float, *services: str) -> Route:
+    shares = tuple(ServiceShare(service, 1) for service in services)
+    return Route(key, shares, seal_of(key), objective_s=objective_s)
+
+
+def _text(*routes: Route) -> RoutingText:
+    return RoutingText(1, 1, {route.key: route for route in routes}, 15)
+
+
+class DemandControlTest(TestCase):
+    """Decide by objectives, always, or never."""
+
+    def test_patient_callers(self) -> None:
+        """A service whose callers can wait is covered."""
+        text = _text(_route(_KEY, LEAST_OBJECTIVE_S, 'portal'))
+        self.assertTrue(DemandControl().covers('portal', text))
+
+    def test_the_least_patient_route_decides(self) -> None:
+        """Requests of an impatient route would wait behind those of a patient one."""
+        text = _text(
+            _route(_KEY, LEAST_OBJECTIVE_S, 'portal', 'archive'),
+            _route(_OTHER_KEY, LEAST_OBJECTIVE_S / 2, 'portal'),
+        )
+        self.assertFalse(DemandControl().covers('portal', text))
+        self.assertTrue(DemandControl().covers('archive', text))
+
+    def test_no_objective(self) -> None:
+        """Guards against waiting for callers of whom nothing is known."""
+        text = _text(_route(_KEY, 0, 'portal'), _route(_OTHER_KEY, 1, 'portal'))
+        self.assertFalse(DemandControl().covers('portal', text))
+        self.assertFalse(DemandControl().covers('unknown', text))
+        self.assertFalse(DemandControl().covers('portal', None))
+
+    def test_settings(self) -> None:
+        """Operators may decide for all services."""
+        text = _text(_route(_KEY, 1, 'portal'))
+        self.assertTrue(DemandControl(DemandControlMode.ALWAYS).covers('other', text))
+        self.assertFalse(DemandControl(DemandControlMode.NEVER).covers('portal', text))
+
+    def test_told_to_peers(self) -> None:
+        """Guards against hosts that got the text from a peer and serve it in another way."""
+        text = _text(_route(_KEY, 0.552, 'portal'), _route(_OTHER_KEY, 0, 'archive'))
+        told = decode_view(encode_view(View(text, 1, [], [], 1))).text
+        assert told is not None
+        self.assertEqual(text.objective_by_service, told.objective_by_service)
