Let a flow whose service is full go to another service of its route that has room

Cause: the service is picked by weight before anybody looks at room. A text that gives a small service most of a route's flows fills it, and its callers wait or are refused while the other service of the same route has free slots (test red without the change: 0 flows at the sibling, 12 with it). Only where demand is controlled; weights hold while there is room, and a service without a weight gets nothing. Ruled out: keeping a debt to the weights, and siblings in other data centres (docs/design/weights-without-room.md).

--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -15,6 +15,7 @@
 )
 from bronzekeel.core.routing.placement import Placement
 from bronzekeel.core.routing.pools import Pool
+from bronzekeel.core.routing.siblings import siblings_of
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.verdicts import Deliver, Discard, Reason, Reset, Verdict, Wait
 from bronzekeel.core.routing.waiting import WaitingRequest
@@ -141,10 +142,12 @@
         if upstream is None:
             return self._without_upstream(packet, now)
         if may_wait and not upstream.pool.has_room:
-            elsewhere = self._with_room_elsewhere(candidates, now)
-            if elsewhere is None and self._waits(packet, upstream.pool, route, now):
+            other = self._with_room_elsewhere(candidates, now)
+            if other is None:
+                other = self._with_room_at_sibling(route, service, text, now)
+            if other is None and self._waits(packet, upstream.pool, route, now):
                 return Wait()
-            upstream = elsewhere or upstream
+            upstream = other or upstream
         self._state.flows.place(packet.flow, upstream, now)
         self._state.eligibility.note_placed(upstream, text, now)
         self._decisions.note(Decision('placed', packet, upstream.entry.name, upstream), now)
@@ -159,6 +162,30 @@
         ]
         return self._placement.choose(there, now)
 
+    def _with_room_at_sibling(
+        self,
+        route: Route,
+        service: str,
+        text: RoutingText,
+        now: float,
+    ) -> Upstream | None:
+        """Return an upstream of another service of the route that has room, None if none has."""
+        home = self._state.peers.me.data_centre
+        for sibling in siblings_of(route, service):
+            if not self._state.controls_demand(sibling):
+                continue
+            with_room = [
+                upstream
+                for upstream in self._state.eligibility.of_service(sibling, route, text, now)
+                if upstream.entry.data_centre == home
+                and upstream.pool.has_room
+                and now >= upstream.avoided_until
+            ]
+            chosen = self._placement.choose(with_room, now)
+            if chosen is not None:
+                return chosen
+        return None
+
     def _waits(self, packet: FlowPacket, pool: Pool, route: Route, now: float) -> bool:
         """Let the request that `packet` begins wait if its pool has no room."""
         waiting = self._state.waiting
