Control demand by the shortest objective of a whole text, not of a service

A test told what the former rule said; it is replaced by one that asks for the least patient route of the text.

--- a/src/bronzekeel/core/routing/demand.py
+++ b/src/bronzekeel/core/routing/demand.py
@@ -4,10 +4,10 @@
 
 
 class Demand:
-    """Hold the parts that control demand; `control` says for which services they act."""
+    """Hold the parts that control demand; `control` says whether they act."""
 
     __slots__ = ('control',)
 
     def __init__(self, control: DemandControl) -> None:
-        """Act for the services that `control` names."""
+        """Act while `control` says so."""
         self.control = control
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -4,7 +4,7 @@
 the dark until its first packet is forwarded.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from zlib import crc32
 
 from bronzekeel.core.routing.pools import Pool
@@ -73,15 +73,14 @@
     `order` orders texts from all sources: by `generation`, the operators'
     own number, then by `revision`.  A flow that is silent for `idle_s` seconds may be forgotten.
     A cold upstream of a service in `cold_rate_by_service` bears so many requests a second.
-    `objective_by_service` has the shortest latency objective of all routes that name a service,
-    zero if one of them states none.
+    `least_objective_s` is the shortest latency objective of all routes, zero if one states none.
     """
 
     __slots__ = (
         'cold_rate_by_service',
         'generation',
         'idle_s',
-        'objective_by_service',
+        'least_objective_s',
         'order',
         'revision',
         'route_by_key',
@@ -102,16 +101,10 @@
         self.order = text_order_of(generation, revision)
         self.route_by_key = route_by_key
         self.idle_s = idle_s
-        self.objective_by_service = _objectives(route_by_key.values())
-
-
-def _objectives(routes: Iterable[Route]) -> dict[str, float]:
-    objective_by_service: dict[str, float] = {}
-    for route in routes:
-        for share in route.shares:
-            known = objective_by_service.get(share.service, route.objective_s)
-            objective_by_service[share.service] = min(known, route.objective_s)
-    return objective_by_service
+        self.least_objective_s = min(
+            (route.objective_s for route in route_by_key.values()),
+            default=0,
+        )
 
 
 class UpstreamEntry:
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -148,9 +148,10 @@
         """Whether the store does not answer this balancer."""
         return any(follower.lost for follower in self.follower_by_collection.values())
 
-    def controls_demand(self, service: str) -> bool:
-        """Whether the demand on a service is controlled by the text in force."""
-        return self.demand.control.covers(service, self.text)
+    @property
+    def controls_demand(self) -> bool:
+        """Whether demand is controlled, by the setting and the text in force."""
+        return self.demand.control.covers(self.text)
 
     def is_direct(self, now: float) -> bool:
         """Whether own watches prove that both views are as new as the store."""
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -171,9 +171,9 @@
     ) -> Upstream | None:
         """Return an upstream of another service of the route that has room, None if none has."""
         home = self._state.peers.me.data_centre
+        if not self._state.controls_demand:
+            return None
         for sibling in siblings_of(route, service):
-            if not self._state.controls_demand(sibling):
-                continue
             with_room = [
                 upstream
                 for upstream in self._state.eligibility.of_service(sibling, route, text, now)
--- a/src/bronzekeel/core/routing/taking.py
+++ b/src/bronzekeel/core/routing/taking.py
@@ -26,6 +26,7 @@
             generation=text.generation,
             revision=shown(text.revision),
             routes=len(text.route_by_key),
+            demand_controlled=state.demand.control.covers(text),
         ),
     ]
 
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -39,8 +39,8 @@
     `stop_within_s` bounds a planned stop.  `weighs` says what placement puts first.
     `region_by_data_centre` says where upstreams of routes with homes may be.  Cold upstreams
     together get at most `cold_overage` times the stated requests a second, and `cold_slack` more.
-    `demand_control` says for which services requests are placed by learned capacity and shared
-    among callers.  `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at
+    `demand_control` says whether requests are placed by learned capacity and shared among
+    callers.  `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at
     once.
     """
 
--- a/tests/test_demand_control.py
+++ b/tests/test_demand_control.py
@@ -1,4 +1,4 @@
-"""Which services have their demand controlled: by their text's objectives, or as a setting says."""
+"""Test whether demand is controlled: by the objectives of a text, or as a setting says."""
 
 from unittest import TestCase
 
@@ -30,35 +30,34 @@
     """Decide by objectives, always, or never."""
 
     def test_patient_callers(self) -> None:
-        """A service whose callers can wait is covered."""
-        text = _text(_route(_KEY, LEAST_OBJECTIVE_S, 'portal'))
-        self.assertTrue(DemandControl().covers('portal', text))
+        """A text all of whose callers can wait is covered."""
+        text = _text(_route(_KEY, LEAST_OBJECTIVE_S, 'portal'), _route(_OTHER_KEY, 2, 'archive'))
+        self.assertTrue(DemandControl().covers(text))
 
     def test_the_least_patient_route_decides(self) -> None:
-        """Requests of an impatient route would wait behind those of a patient one."""
+        """Guards against requests of an impatient route that wait behind those of a patient one."""
         text = _text(
-            _route(_KEY, LEAST_OBJECTIVE_S, 'portal', 'archive'),
+            _route(_KEY, LEAST_OBJECTIVE_S, 'archive'),
             _route(_OTHER_KEY, LEAST_OBJECTIVE_S / 2, 'portal'),
         )
-        self.assertFalse(DemandControl().covers('portal', text))
-        self.assertTrue(DemandControl().covers('archive', text))
+        self.assertFalse(DemandControl().covers(text))
 
     def test_no_objective(self) -> None:
         """Guards against waiting for callers of whom nothing is known."""
         text = _text(_route(_KEY, 0, 'portal'), _route(_OTHER_KEY, 1, 'portal'))
-        self.assertFalse(DemandControl().covers('portal', text))
-        self.assertFalse(DemandControl().covers('unknown', text))
-        self.assertFalse(DemandControl().covers('portal', None))
+        self.assertFalse(DemandControl().covers(text))
+        self.assertFalse(DemandControl().covers(_text()))
+        self.assertFalse(DemandControl().covers(None))
 
     def test_settings(self) -> None:
-        """Operators may decide for all services."""
-        text = _text(_route(_KEY, 1, 'portal'))
-        self.assertTrue(DemandControl(DemandControlMode.ALWAYS).covers('other', text))
-        self.assertFalse(DemandControl(DemandControlMode.NEVER).covers('portal', text))
+        """Operators may decide for all texts."""
+        self.assertTrue(DemandControl(DemandControlMode.ALWAYS).covers(_text()))
+        patient = _text(_route(_KEY, 1, 'portal'))
+        self.assertFalse(DemandControl(DemandControlMode.NEVER).covers(patient))
 
     def test_told_to_peers(self) -> None:
         """Guards against hosts that got the text from a peer and serve it in another way."""
-        text = _text(_route(_KEY, 0.552, 'portal'), _route(_OTHER_KEY, 0, 'archive'))
+        text = _text(_route(_KEY, 0.552, 'portal'), _route(_OTHER_KEY, 0.7, 'archive'))
         told = decode_view(encode_view(View(text, 1, [], [], 1))).text
         assert told is not None
-        self.assertEqual(text.objective_by_service, told.objective_by_service)
+        self.assertEqual(0.552, told.least_objective_s)
