--- a/src/bronzekeel/platform/module_archive.py
+++ b/src/bronzekeel/platform/module_archive.py
@@ -40,9 +40,8 @@
             return None
         code, file_name, folder = archived
         origin = self._whole(file_name)
-        library = None if code else ExtensionFileLoader(name, origin)
-        found = ModuleSpec(name, library, origin=origin)
-        found.loader = library or self  # type: ignore[assignment] (abstract loaders are imported late)
+        loader = self if code else ExtensionFileLoader(name, origin)
+        found = ModuleSpec(name, loader, origin=origin)  # type: ignore[arg-type]
         if folder:
             found.submodule_search_locations = [self._whole(folder)]
         return found
