--- /dev/null
+++ b/src/bronzekeel/core/routing/caller_sketch.py
@@ -0,0 +1,169 @@
+"""Count the requests of callers in constant memory, the newest for the most.
+
+The heaviest callers are kept by space-saving (Metwally, Agrawal and El Abbadi, 2005), the number
+of all by linear counting (Whang, Vander-Zanden and Taylor, 1990).  Counts fade by forward decay
+(Cormode, Shkapenyuk, Srivastava and Xu, 2009): a new request weighs more, and what is
+kept need not be touched.
+"""
+
+from heapq import heapify, heappop, heappush
+from math import exp, log
+from zlib import crc32
+
+
+#: Seconds in which a count fades to a third.  Source: two intervals between heartbeats in a data
+#: centre of 30 hosts, so that what neighbours tell is not older than what it is compared with.
+FADE_S = 2.0
+
+#: Callers that are counted one by one at most.  Source: those above their share are few by
+#: nature; at a hundred times their share even these would be more than all room.
+MOST_COUNTED = 128
+
+#: Bits by which callers are counted.  Source: up to four times as many callers are told apart,
+#: more than a data centre's upstreams have room for in an overload.
+DISTINCT_BITS = 64
+
+#: Exponent from which weights are reckoned anew.  Source: far below what a float can hold.
+_MOST_EXPONENT = 50.0
+
+#: Faded requests below which a caller is not worth an entry.
+_LEAST_COUNT = 0.01
+
+
+class Counted:
+    """Hold what one caller asked for and was given, by the weights of a sketch.
+
+    `inherited` of what it `asked` may be another's, whose entry it took.
+    """
+
+    __slots__ = ('asked', 'given', 'inherited')
+
+    def __init__(self, inherited: float) -> None:
+        """Start with what the former owner of the entry asked for."""
+        self.asked = inherited
+        self.given: float = 0
+        self.inherited = inherited
+
+
+class CallerSketch:
+    """Count requests by caller: the heaviest one by one, all of them together."""
+
+    __slots__ = (
+        '_asked',
+        '_by_caller',
+        '_former_seen',
+        '_given',
+        '_least',
+        '_newer_at',
+        '_seen',
+        '_since',
+    )
+
+    def __init__(self, now: float) -> None:
+        """Start with nothing counted."""
+        self._by_caller: dict[int, Counted] = {}
+        self._least: list[tuple[float, int]] = []
+        self._asked: float = 0
+        self._given: float = 0
+        self._seen = 0
+        self._former_seen = 0
+        self._newer_at = now + FADE_S
+        self._since = now
+
+    def __len__(self) -> int:
+        """Return the number of callers that are counted one by one."""
+        return len(self._by_caller)
+
+    @property
+    def seen(self) -> int:
+        """Bits of the callers that asked in the last seconds."""
+        return self._seen | self._former_seen
+
+    def note(self, caller: int, now: float, *, given: bool) -> None:
+        """Count one request, and whether it was let through."""
+        weight = self._weight(now)
+        counted = self._by_caller.get(caller) or self._enter(caller)
+        counted.asked += weight
+        self._asked += weight
+        if given:
+            counted.given += weight
+            self._given += weight
+        self._see(caller, now)
+
+    def asked(self, now: float) -> float:
+        """Return the requests of all callers, faded."""
+        return self._asked / self._weight(now)
+
+    def given(self, now: float) -> float:
+        """Return the requests of all callers that were let through, faded."""
+        return self._given / self._weight(now)
+
+    def given_to(self, caller: int, now: float) -> float:
+        """Return the requests of one caller that were let through, faded."""
+        counted = self._by_caller.get(caller)
+        return counted.given / self._weight(now) if counted else 0
+
+    def counts(self, now: float) -> dict[int, tuple[float, float]]:
+        """Return what each counted caller surely asked for, and was given, faded."""
+        weight = self._weight(now)
+        return {
+            caller: ((counted.asked - counted.inherited) / weight, counted.given / weight)
+            for caller, counted in self._by_caller.items()
+        }
+
+    def _weight(self, now: float) -> float:
+        """Return the weight of a request that comes now."""
+        exponent = (now - self._since) / FADE_S
+        if exponent > _MOST_EXPONENT:
+            self._begin_anew(now, exp(exponent))
+            return 1
+        return exp(exponent)
+
+    def _begin_anew(self, now: float, weight: float) -> None:
+        """Reckon all counts for weights that start from one, and forget those that faded."""
+        self._since = now
+        self._asked /= weight
+        self._given /= weight
+        kept: dict[int, Counted] = {}
+        for caller, counted in self._by_caller.items():
+            counted.asked /= weight
+            counted.given /= weight
+            counted.inherited /= weight
+            if counted.asked >= _LEAST_COUNT:
+                kept[caller] = counted
+        self._by_caller = kept
+        self._least = [(counted.asked, caller) for caller, counted in kept.items()]
+        heapify(self._least)
+
+    def _enter(self, caller: int) -> Counted:
+        """Give a caller an entry, that of the one that asked for least if all are taken."""
+        inherited: float = 0
+        if len(self._by_caller) >= MOST_COUNTED:
+            inherited = self._by_caller.pop(self._pop_least()).asked
+        counted = Counted(inherited)
+        self._by_caller[caller] = counted
+        heappush(self._least, (inherited, caller))
+        return counted
+
+    def _pop_least(self) -> int:
+        """Return the caller that asked for least; counts in the heap may be out of date."""
+        while True:
+            asked, caller = heappop(self._least)
+            newest = self._by_caller[caller].asked
+            if newest <= asked:
+                return caller
+            heappush(self._least, (newest, caller))
+
+    def _see(self, caller: int, now: float) -> None:
+        if now >= self._newer_at:
+            self._former_seen = self._seen if now < self._newer_at + FADE_S else 0
+            self._seen = 0
+            self._newer_at = now + FADE_S
+        place = crc32(caller.to_bytes(4, 'big')) % DISTINCT_BITS
+        self._seen |= 1 << place
+
+
+def distinct_of(seen: int) -> float:
+    """Return about how many callers have set some bits."""
+    free = max(DISTINCT_BITS - seen.bit_count(), 1)
+    return DISTINCT_BITS * log(DISTINCT_BITS / free)
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -263,6 +263,8 @@
             flow.busy = True
             flow.upstream.busy_flows += 1
             flow.upstream.asked += 1
+            if flow.upstream.pool.callers is not None:
+                flow.upstream.pool.callers.note(flow.key, now, given=True)
             service = flow.upstream.entry.service
             self.requests_by_service[service] = self.requests_by_service.get(service, 0) + 1
 
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -79,6 +79,10 @@
         state.balance.shares if state.balance.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
+        callers_by_service=state.demand.callers.words(
+            state.directory.pools_of(state.peers.me.data_centre),
+            now,
+        ),
         evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -3,11 +3,13 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
+from bronzekeel.core.routing.caller_words import CallersWord
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 
 
 _NO_RATES: Mapping[str, float] = MappingProxyType({})
 _NOBODY: Mapping[int, int] = MappingProxyType({})
+_NO_WORDS: Mapping[str, CallersWord] = MappingProxyType({})
 
 
 class FlowShare:
@@ -78,12 +80,14 @@
     are in progress there, for each slot.  `allowances` say what others have room for, None if it
     has heard too little from them.  `unanswered_by_number` says how many opening packets in a row
     upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
-    evacuations: all of it, so that nobody has to ask.  `others` are peers that it knows.
+    evacuations: all of it, so that nobody has to ask.  `callers_by_service` says what callers of
+    services that are short asked for and were given.  `others` are peers that it knows.
     """
 
     __slots__ = (
         'allowances',
         'busy_by_number',
+        'callers_by_service',
         'direct',
         'evacuated',
         'load_by_service',
@@ -112,6 +116,7 @@
         allowances: tuple[Allowance, ...] | None = None,
         evacuated: Evacuated = NOTHING_EVACUATED,
         unanswered_by_number: Mapping[int, int] = _NOBODY,
+        callers_by_service: Mapping[str, CallersWord] = _NO_WORDS,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -128,6 +133,7 @@
         self.allowances = allowances
         self.evacuated = evacuated
         self.unanswered_by_number = unanswered_by_number
+        self.callers_by_service = callers_by_service
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/overload.py
+++ b/src/bronzekeel/core/routing/overload.py
@@ -3,7 +3,7 @@
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import Effect, WriteLine
 from bronzekeel.core.routing.pools import Pool
-from bronzekeel.core.routing.waiting import OVERLOAD_S
+from bronzekeel.core.routing.waiting_bounds import OVERLOAD_S
 
 
 class OverloadWatch:
--- a/src/bronzekeel/core/routing/pools.py
+++ b/src/bronzekeel/core/routing/pools.py
@@ -1,5 +1,8 @@
 """Count what this balancer has in progress at the upstreams of one service in one data centre."""
 
+from bronzekeel.core.routing.caller_shares import CallerShares
+
+
 #: What no number of requests reaches.
 NO_LIMIT = float('inf')
 
@@ -37,7 +40,8 @@
     `busy` counts the requests of this balancer's callers that are in progress there, by own
     sight.  From `limit` on further ones wait, and up to `allowance` they may come from flows that
     found no room in the own data centre; `waiting` counts those that do, and the queue
-    of them began at `queued_since`.  `answered` counts the requests whose answers were
+    of them began at `queued_since`; `waiting_open` of them are on open flows.  `callers` has the
+    shares of callers where demand is controlled, None elsewhere.  `answered` counts the requests whose answers were
     acknowledged, `refused` the flows that were refused for want of
     room, and `way_s` is the mean time in seconds that a packet and what comes
     back for it are on the way between caller, balancer and upstream, without any work.
@@ -49,6 +53,7 @@
         'allowance',
         'answered',
         'busy',
+        'callers',
         'data_centre',
         'evacuated',
         'limit',
@@ -56,6 +61,7 @@
         'refused',
         'service',
         'waiting',
+        'waiting_open',
         'way_s',
     )
 
@@ -68,6 +74,8 @@
         self.limit = NO_LIMIT
         self.allowance: float = 0
         self.waiting = 0
+        self.waiting_open = 0
+        self.callers: CallerShares | None = None
         self.queued_since: float = 0
         self.answered = 0
         self.refused = 0
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -362,6 +362,8 @@
     state.admission.reckon(now)
     pools = state.directory.pools_of(state.peers.me.data_centre)
     effects.extend(state.overloads.look(pools, now))
+    demand = state.demand
+    effects.extend(demand.callers.look(pools, demand.control, state.text, state.peers, now))
     effects.extend(_follow_on(state, now))
     effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -4,6 +4,7 @@
 
 from bronzekeel.core.routing.admission import Admission, RequestsPerSlot
 from bronzekeel.core.routing.balance import Balance
+from bronzekeel.core.routing.caller_queue import SharedAmongCallers
 from bronzekeel.core.routing.cold_starts import ColdStarts
 from bronzekeel.core.routing.demand import Demand
 from bronzekeel.core.routing.demand_control import DemandControl
@@ -21,7 +22,7 @@
 from bronzekeel.core.routing.shared_load import SharedLoads
 from bronzekeel.core.routing.stopping import Stopping
 from bronzekeel.core.routing.store_record import StoreRecord
-from bronzekeel.core.routing.waiting import NewestFirst, WaitingOrder, WaitingRequests
+from bronzekeel.core.routing.waiting import WaitingOrder, WaitingRequests
 from bronzekeel.core.routing.watch_duty import (
     has_current_watcher,
     is_watcher,
@@ -71,7 +72,7 @@
         peers: PeerTable,
         stop_within_s: float,
         admission_of: type[Admission] = RequestsPerSlot,
-        order_of: type[WaitingOrder] = NewestFirst,
+        order_of: type[WaitingOrder] = SharedAmongCallers,
         region_by_centre: Mapping[str, str] = NO_REGIONS,
         cold_starts: ColdStarts | None = None,
         demand_control: DemandControl | None = None,
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -74,30 +74,45 @@
     def resume(self, now: float) -> Iterator[tuple[FlowPacket, Verdict]]:
         """Decide on the packets whose requests wait no longer.
 
-        Those that waited long enough are refused if their flow is not open; on an
-        open flow their caller has given them up.
+        Those that waited long enough are refused if their flow is not open.  On an open flow they
+        are sent on where demand is controlled; elsewhere their caller has given them up.
         """
         self._state.flows.expire_openings(now)
         waiting = self._state.waiting
         request = waiting.take_ended(now)
         while request is not None:
-            for refused in request.packets:
-                yield refused, self._refuse(refused, request, now)
+            if request.goes_on(now):
+                yield from self._go_on(request, now)
+            else:
+                for refused in request.packets:
+                    yield refused, self._refuse(refused, request, now)
             request = waiting.take_ended(now)
         request = waiting.take_ready(now)
         while request is not None:
-            for packet in request.packets:
-                yield packet, self._decide(packet, now, may_wait=False)
+            yield from self._go_on(request, now)
             request = waiting.take_ready(now)
 
+    def _go_on(
+        self,
+        request: WaitingRequest,
+        now: float,
+    ) -> Iterator[tuple[FlowPacket, Verdict]]:
+        for packet in request.packets:
+            yield packet, self._decide(packet, now, may_wait=False)
+
     def _refuse(self, packet: FlowPacket, request: WaitingRequest, now: float) -> Verdict:
         """Refuse a flow that found no room, unless its repeat may have opened it elsewhere."""
         if not request.opens or now >= request.until + LATE_REFUSAL_S:
             return Discard(Reason.GIVEN_UP)
-        request.pool.refused += 1
-        refusal = Decision('refused', packet, Reason.OVERLOADED, pool=request.pool)
-        self._decisions.note(refusal, now)
-        return Reset(Reason.OVERLOADED)
+        return self._turn_away(packet, request.pool, Reason.OVERLOADED, now)
+
+    def _turn_away(self, packet: FlowPacket, pool: Pool, reason: Reason, now: float) -> Verdict:
+        """Refuse a flow for want of room in a pool."""
+        pool.refused += 1
+        if pool.callers is not None:
+            pool.callers.note(packet.flow, now, given=False)
+        self._decisions.note(Decision('refused', packet, reason, pool=pool), now)
+        return Reset(reason)
 
     def _decide(self, packet: FlowPacket, now: float, *, may_wait: bool) -> Verdict:
         text = self._state.text
@@ -142,6 +157,8 @@
             return self._without_upstream(packet, now)
         if may_wait and not upstream.pool.has_room:
             elsewhere = self._with_room_elsewhere(candidates, now)
+            if elsewhere is None and _is_above_share(packet, upstream.pool, now):
+                return self._turn_away(packet, upstream.pool, Reason.ABOVE_SHARE, now)
             if elsewhere is None and self._waits(packet, upstream.pool, route, now):
                 return Wait()
             upstream = elsewhere or upstream
@@ -245,6 +262,16 @@
     return packet.copy > 0 or now < flow.opened_at + COPY_GAP_S
 
 
+def _is_above_share(packet: FlowPacket, pool: Pool, now: float) -> bool:
+    """Whether the caller of an opening packet was given far more than its share.
+
+    A repeat is not judged: the first packet may have opened the flow through another host.
+    """
+    if pool.callers is None or packet.copy or pool.busy < pool.limit:
+        return False
+    return pool.callers.refuses(pool.callers.caller_of(packet.flow), now)
+
+
 def _id_of(upstream: Upstream, route: Route) -> int:
     return sealed(upstream.entry.short_number, route.seal)
 
--- a/src/bronzekeel/core/routing/verdicts.py
+++ b/src/bronzekeel/core/routing/verdicts.py
@@ -16,6 +16,7 @@
     UNKNOWN_CONNECTION_ID = 'unknown_connection_id'
     UPSTREAM_GONE = 'upstream_gone'
     OVERLOADED = 'overloaded'
+    ABOVE_SHARE = 'above_share'
     GIVEN_UP = 'given_up'
 
 
--- a/src/bronzekeel/core/routing/waiting.py
+++ b/src/bronzekeel/core/routing/waiting.py
@@ -16,24 +16,9 @@
 
 from bronzekeel.core.routing.model import FlowPacket, Route
 from bronzekeel.core.routing.pools import Pool
+from bronzekeel.core.routing.waiting_bounds import wait_s
 
 
-#: Seconds that a queue stands before it counts as overload.  What goes wrong without it: all
-#: balancers start anew, what callers sent meanwhile comes at once, and a tenth of it is
-#: refused although it could be served within half a second.  Source: the longest time that
-#: such a backlog took; an overload that is noticed this late costs a tenth of five seconds.
-OVERLOAD_S = 0.5
-
-#: Seconds that an opening packet waits at most before that.  Source: callers repeat one after
-#: 0.2 and 0.6 s; the repeat finds the first, or another balancer.
-MOST_BACKLOG_WAIT_S = 0.4
-
-#: Seconds that an opening packet waits at most in an overload: what cannot be served is
-#: refused at once.  Source: about as long as upstreams work on a request, so the next
-#: slot goes to the most urgent of those that wait; between 10 and 40 ms callers are
-#: served equally well, with 0 the urgent ones are refused as often as the others.
-MOST_OPENING_WAIT_S = 0.02
-
 #: Bytes of packets that wait at most; beyond them requests go on without waiting.  Source: an
 #: eighth of the memory that a balancer may take at the size of docs/CAPACITY.md.
 MOST_WAITING_BYTES = 4_000_000
@@ -42,18 +27,26 @@
 class WaitingRequest:
     """Hold one request that waits: an opening packet, or the packets of a request on a flow.
 
-    It waits until `until`, a moment of the steady clock, at most.  `ended` tells that it
-    no longer waits.
+    It waits until `until`, a moment of the steady clock, at most; its caller gives it up at
+    `given_up_at`.  `ended` tells that it no longer waits.
     """
 
-    __slots__ = ('ended', 'packets', 'pool', 'priority', 'until')
+    __slots__ = ('ended', 'given_up_at', 'packets', 'pool', 'priority', 'until')
 
-    def __init__(self, packet: FlowPacket, pool: Pool, priority: int, until: float) -> None:
+    def __init__(
+        self,
+        packet: FlowPacket,
+        pool: Pool,
+        priority: int,
+        until: float,
+        given_up_at: float,
+    ) -> None:
         """Wait with the first packet of a request."""
         self.packets = [packet]
         self.pool = pool
         self.priority = priority
         self.until = until
+        self.given_up_at = given_up_at
         self.ended = False
 
     @property
@@ -61,15 +54,37 @@
         """Whether its flow is not open yet, and may be refused."""
         return self.packets[0].opens
 
+    def goes_on(self, now: float) -> bool:
+        """Whether it is sent on after its wait: it cannot be refused and is wanted still."""
+        return not self.opens and self.pool.callers is not None and now < self.given_up_at
+
     @property
     def size(self) -> int:
         """Bytes of its packets."""
         return sum(len(packet.raw) for packet in self.packets)
 
 
+class WaitingQueue(ABC):
+    """Hold the requests that wait for one pool."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def add(self, request: WaitingRequest, number: int) -> None:
+        """Take the request that came as the `number`th."""
+
+    @abstractmethod
+    def first(self, now: float) -> WaitingRequest | None:
+        """Return the request that goes on first, None if none waits."""
+
+
 class WaitingOrder(ABC):
     """Say which of the waiting requests of a pool goes on first."""
 
+    def queue_of(self, pool: Pool) -> WaitingQueue:
+        """Return the queue of a pool that none waits for yet."""
+        return RankedQueue(self)
+
     @abstractmethod
     def rank(self, request: WaitingRequest, number: int) -> tuple[int, int]:
         """Return the place of the request that came as the `number`th; the smallest goes first."""
@@ -92,26 +107,26 @@
         return request.priority, -number
 
 
-class _Ranked:
-    """Hold the requests that wait for one pool, the first to go on in front."""
+class RankedQueue(WaitingQueue):
+    """Hold requests by ranks that stay as they are from when they come."""
 
     __slots__ = ('_heap', '_order')
 
     def __init__(self, order: WaitingOrder) -> None:
+        """Rank requests by `order`."""
         self._order = order
         self._heap: list[tuple[tuple[int, int], WaitingRequest]] = []
 
-    @property
-    def first(self) -> WaitingRequest | None:
-        """The request that goes on first, None if none waits."""
-        while self._heap and self._heap[0][1].ended:
-            heappop(self._heap)
-        return self._heap[0][1] if self._heap else None
-
     def add(self, request: WaitingRequest, number: int) -> None:
         """Take the request that came as the `number`th."""
         heappush(self._heap, (self._order.rank(request, number), request))
 
+    def first(self, now: float) -> WaitingRequest | None:
+        """Return the request that goes on first, None if none waits."""
+        while self._heap and self._heap[0][1].ended:
+            heappop(self._heap)
+        return self._heap[0][1] if self._heap else None
+
 
 class WaitingRequests:
     """Hold the waiting requests of all pools; of each flow one request waits at most."""
@@ -120,7 +135,7 @@
         """Start with none; `order` says who goes on first."""
         self._order = order
         self._by_flow: dict[bytes, WaitingRequest] = {}
-        self._ranked_by_pool: dict[Pool, _Ranked] = {}
+        self._queue_by_pool: dict[Pool, WaitingQueue] = {}
         self._by_end: list[tuple[float, int, WaitingRequest]] = []
         self._number = 0
         self._bytes = 0
@@ -148,14 +163,17 @@
     def add(self, packet: FlowPacket, pool: Pool, route: Route, now: float) -> None:
         """Let the request that `packet` begins wait for room in `pool`."""
         pool.enter(now)
-        wait_s = _opening_wait_s(pool, now) if packet.opens else route.timeout_s
-        request = WaitingRequest(packet, pool, route.priority, now + wait_s)
+        if pool.callers is not None:
+            pool.callers.note_short(now)
+        until = now + wait_s(packet, pool, route, now)
+        request = WaitingRequest(packet, pool, route.priority, until, now + route.timeout_s)
+        pool.waiting_open += not request.opens
         self._number += 1
         self._by_flow[packet.flow] = request
         self._bytes += request.size
-        if pool not in self._ranked_by_pool:
-            self._ranked_by_pool[pool] = _Ranked(self._order)
-        self._ranked_by_pool[pool].add(request, self._number)
+        if pool not in self._queue_by_pool:
+            self._queue_by_pool[pool] = self._order.queue_of(pool)
+        self._queue_by_pool[pool].add(request, self._number)
         heappush(self._by_end, (request.until, self._number, request))
 
     def join(self, request: WaitingRequest, packet: FlowPacket) -> None:
@@ -169,6 +187,7 @@
         """Let a request wait no longer."""
         request.ended = True
         request.pool.leave(now)
+        request.pool.waiting_open -= not request.opens
         self._bytes -= request.size
         self._by_flow.pop(request.packets[0].flow)
 
@@ -183,25 +202,16 @@
 
     def take_ready(self, now: float) -> WaitingRequest | None:
         """Take out the first request that has room by now, None if none has."""
-        for pool, ranked in list(self._ranked_by_pool.items()):
-            request = ranked.first
-            if request is None:
-                self._ranked_by_pool.pop(pool)
+        for pool, queue in list(self._queue_by_pool.items()):
+            if not pool.waiting:
+                self._queue_by_pool.pop(pool)
                 continue
             if pool.busy >= pool.limit:
                 continue
+            request = queue.first(now)
+            if request is None:
+                self._queue_by_pool.pop(pool)
+                continue
             self.end(request, now)
             return request
         return None
-
-
-def _opening_wait_s(pool: Pool, now: float) -> float:
-    """Return the seconds that an opening packet may wait for a pool.
-
-    A queue that has just begun may be a backlog that is soon worked off; one that
-    stands is an overload, as in "Controlling Queue Delay" (Nichols and Jacobson, ACM
-    Queue 10(5), 2012), and who waits in it is served too late or not at all.
-    """
-    if pool.queued_s(now) < OVERLOAD_S:
-        return MOST_BACKLOG_WAIT_S
-    return MOST_OPENING_WAIT_S
--- a/src/bronzekeel/entry/decision_log.py
+++ b/src/bronzekeel/entry/decision_log.py
@@ -3,8 +3,10 @@
 from types import MappingProxyType
 
 from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.caller_shares import NO_LEVEL
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
 from bronzekeel.core.routing.model import flow_text
+from bronzekeel.core.routing.pools import Pool
 from bronzekeel.core.routing.revisions import shown
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.entry.lines import LineLog
@@ -52,4 +54,17 @@
             fields['in_progress'] = pool.busy
             fields['limit'] = round(pool.limit, 1)
             fields['waiting'] = pool.waiting
+            fields.update(_caller_fields(pool, packet.flow, now))
         self._lines.write(number, fields, now)
+
+
+def _caller_fields(pool: Pool, flow: bytes, now: float) -> dict[str, object]:
+    """Return what the caller of a flow was given and its share, if shares are known."""
+    shares = pool.callers
+    if shares is None or shares.level == NO_LEVEL:
+        return {}
+    caller = shares.caller_of(flow)
+    return {
+        'given': round(shares.given_to(caller, now), 1),
+        'share': round(shares.level, 1),
+    }
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -14,6 +14,18 @@
 _POOL_METRICS: tuple[tuple[str, str, str, Callable[[Pool], float]], ...] = (
     ('requests_in_progress', 'gauge', 'Requests in progress by service.', lambda pool: pool.busy),
     ('requests_waiting', 'gauge', 'Requests that wait for room.', lambda pool: pool.waiting),
+    (
+        'requests_waiting_open',
+        'gauge',
+        'Requests on open flows that wait for room.',
+        lambda pool: pool.waiting_open,
+    ),
+    (
+        'callers_above_share',
+        'gauge',
+        'Callers whose openings are refused at once.',
+        lambda pool: pool.callers.above if pool.callers else 0,
+    ),
     (
         'requests_limit',
         'gauge',
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -4,13 +4,20 @@
 unreadable: a peer of another version must not be half understood.
 """
 
-from collections.abc import Iterator
+from base64 import b64decode, b64encode
+from collections.abc import Iterator, Mapping
 from json import dumps as encode_json
 from json import loads as decode_json
 from typing import Any
 from zlib import compress, decompressobj
 from zlib import error as CompressionError  # noqa: N812 (a class in spite of its name)
 
+from bronzekeel.core.routing.caller_words import (
+    MOST_SERVICES,
+    CallersWord,
+    pack_word,
+    unpack_word,
+)
 from bronzekeel.core.routing.connection_ids import seal_of
 from bronzekeel.core.routing.field_checks import (
     MOST_COLD_S,
@@ -111,6 +118,7 @@
             ),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
+            **_callers_out(heartbeat.callers_by_service),
         },
     )
 
@@ -134,6 +142,7 @@
             unanswered_by_number={
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
+            callers_by_service=_callers_in(fields.get('callers', [])),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -246,6 +255,23 @@
     return Evacuated(decode_revision(*as_of), names)
 
 
+def _callers_out(word_by_service: Mapping[str, CallersWord]) -> dict[str, list[tuple[str, str]]]:
+    """Return the field for words on callers; none while nothing is short."""
+    if not word_by_service:
+        return {}
+    words = [
+        (service, b64encode(pack_word(word)).decode()) for service, word in word_by_service.items()
+    ]
+    return {'callers': words}
+
+
+def _callers_in(fields: list[Any]) -> dict[str, CallersWord]:
+    return {
+        str(service): unpack_word(b64decode(word, validate=True))
+        for service, word in fields[:MOST_SERVICES]
+    }
+
+
 def _figure_in(field: Any) -> float:
     """Return a figure that can be reckoned with: zero or more, and no infinity."""
     figure = float(field)
--- a/src/bronzekeel/entry/settings.py
+++ b/src/bronzekeel/entry/settings.py
@@ -8,6 +8,7 @@
 from json import JSONDecodeError
 from json import loads as decode_json
 
+from bronzekeel.core.routing.caller_shares import USUAL_CALLER_BITS
 from bronzekeel.core.routing.demand_control import DemandControlMode
 
 
@@ -40,11 +41,12 @@
     `region_by_data_centre` says where upstreams of routes with homes may be.  Cold upstreams
     together get at most `cold_overage` times the stated requests a second, and `cold_slack` more.
     `demand_control` says for which services requests are placed by learned capacity and shared
-    among callers.  `link_mbps` is the rate of the host's link in Mbit/s; at zero packets leave at
-    once.
+    among callers; `caller_bits` leading bits of an address make one caller.  `link_mbps` is the
+    rate of the host's link in Mbit/s; at zero packets leave at once.
     """
 
     __slots__ = (
+        'caller_bits',
         'cold_overage',
         'cold_slack',
         'data_centre',
@@ -83,6 +85,7 @@
         self.demand_control = DemandControlMode(
             _one_of(fields, 'demand_control', tuple(DemandControlMode)),
         )
+        self.caller_bits = _whole(fields, 'caller_bits', USUAL_CALLER_BITS, least=1)
         if fields.get('steering') != STEERING:
             raise SettingsError(f'$.steering: {fields.get("steering")!r} is not {STEERING!r}')
 
@@ -181,6 +184,16 @@
     return float(found)
 
 
+def _whole(fields: Mapping[str, object], name: str, most: int, least: int) -> int:
+    """Return a whole number from `least` to `most`; the latter when there is none."""
+    found = fields.get(name, most)
+    if isinstance(found, bool) or not isinstance(found, int):
+        raise SettingsError(f'$.{name}: {found!r} is no whole number')
+    if not least <= found <= most:
+        raise SettingsError(f'$.{name}: {found} is not between {least} and {most}')
+    return found
+
+
 def _seconds(fields: Mapping[str, object], name: str) -> float:
     found = fields.get(name)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
--- a/src/bronzekeel/entry/starting_state.py
+++ b/src/bronzekeel/entry/starting_state.py
@@ -17,10 +17,12 @@
         settings.cold_slack,
         alone=not set(settings.seeds).difference((me.address,)),
     )
-    return RoutingState(
+    state = RoutingState(
         peers,
         settings.stop_within_s,
         region_by_centre=settings.region_by_data_centre,
         cold_starts=cold_starts,
         demand_control=DemandControl(settings.demand_control),
     )
+    state.demand.callers.bits = settings.caller_bits
+    return state
--- a/src/bronzekeel/explain/story.py
+++ b/src/bronzekeel/explain/story.py
@@ -95,6 +95,11 @@
             f'{line.text("in_progress")} requests in progress of {line.text("limit")} that may '
             f'be, while {line.text("waiting")} others waited'
         )
+    if line.text('by') == 'above_share':
+        return (
+            f'refused by {line.host}: {line.text("service")} is overloaded, and the caller was '
+            f'given {line.text("given")} requests where its share is {line.text("share")}'
+        )
     generation = line.text('generation')
     if line.text('by') != 'no_route':
         return f'refused by {line.host}: the service has no upstream that takes flows'
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -30,6 +30,7 @@
     ViewFetched,
 )
 from bronzekeel.core.routing.follower import Collection
+from bronzekeel.core.routing.caller_queue import SharedAmongCallers
 from bronzekeel.core.routing.decisions import NoDecisionLog
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.model import FlowPacket
@@ -40,7 +41,7 @@
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Verdict, Wait
-from bronzekeel.core.routing.waiting import NewestFirst, WaitingOrder
+from bronzekeel.core.routing.waiting import WaitingOrder
 from bronzekeel.core.store_waits import ANSWER_S
 from bronzekeel.replay.routing_store import StoreModel
 from bronzekeel.replay.virtual_time import VirtualTime
@@ -59,7 +60,7 @@
 
     placement_of: type[Placement] = LeastBusy
     admission_of: type[Admission] = RequestsPerSlot
-    order_of: type[WaitingOrder] = NewestFirst
+    order_of: type[WaitingOrder] = SharedAmongCallers
 
 
 _Then = Callable[[Verdict], None]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,13 +22,11 @@
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.steering import LATE_REFUSAL_S, ConnectionIdSteering
 from bronzekeel.core.routing.verdicts import Verdict
-from bronzekeel.core.routing.waiting import (
+from bronzekeel.core.routing.waiting import MOST_WAITING_BYTES, NewestFirst, WaitingRequests
+from bronzekeel.core.routing.waiting_bounds import (
     MOST_BACKLOG_WAIT_S,
     MOST_OPENING_WAIT_S,
-    MOST_WAITING_BYTES,
     OVERLOAD_S,
-    NewestFirst,
-    WaitingRequests,
 )
 from tests.routing_cases import (
     HOME,
