--- a/src/bronzekeel/core/routing/caller_queue.py
+++ b/src/bronzekeel/core/routing/caller_queue.py
@@ -13,11 +13,11 @@
 )
 
 
-_Rank = tuple[int, int, int]
+_Rank = tuple[int, int]
 
 
 class _Ordered:
-    """Hold requests by urgency, open flows before openings, and the newest first."""
+    """Hold requests by urgency, then the newest first."""
 
     __slots__ = ('_heap',)
 
@@ -49,7 +49,7 @@
     """Let callers within their shares go first, then those that are the least beyond.
 
     What a caller was given changes while its requests wait, so it is looked up when a request
-    is taken.  Requests of callers that are beyond their shares are set aside, each caller's by
+    is taken.  Requests of callers that are not far below their shares are set aside, each caller's by
     themselves: counted callers are few, so the choice among them is cheap.
     """
 
@@ -63,7 +63,7 @@
 
     def add(self, request: WaitingRequest, number: int) -> None:
         """Take the request that came as the `number`th."""
-        self._within.add((request.priority, int(request.opens), -number), request)
+        self._within.add((request.priority, -number), request)
 
     def first(self, now: float) -> WaitingRequest | None:
         """Return the request that goes on first, None if none waits."""
@@ -77,7 +77,7 @@
             front = aside.first
             if front is None:
                 continue
-            key = (front[0][0], self._shares.beyond(caller, now), front[0])
+            key = (front[0][0], self._shares.place(caller, now), front[0])
             if chosen_key is None or key < chosen_key:
                 chosen = front
                 chosen_key = key
@@ -86,7 +86,7 @@
     def _take_back(self, now: float) -> None:
         """Join the requests of callers that are within their shares again with the others."""
         for caller, aside in list(self._aside_by_caller.items()):
-            if aside.first is not None and self._shares.beyond(caller, now):
+            if aside.first is not None and self._shares.place(caller, now):
                 continue
             self._aside_by_caller.pop(caller)
             for rank, request in aside.take_all():
@@ -97,7 +97,7 @@
         front = self._within.first
         while front is not None:
             caller = self._shares.caller_of(front[1].packets[0].flow)
-            if not self._shares.beyond(caller, now):
+            if not self._shares.place(caller, now):
                 return
             aside = self._aside_by_caller.setdefault(caller, _Ordered())
             aside.add(*self._within.pop())
--- a/src/bronzekeel/core/routing/caller_shares.py
+++ b/src/bronzekeel/core/routing/caller_shares.py
@@ -5,6 +5,8 @@
 it, and what is left is shared by the others alike.
 """
 
+from math import sqrt
+
 from bronzekeel.core.routing.caller_sketch import FADE_S, CallerSketch, distinct_of
 from bronzekeel.core.routing.caller_words import MOST_TOLD, CallersWord, HeavyCaller
 
@@ -16,11 +18,17 @@
 #: comes in waves must not find callers whose use is forgotten.
 COUNTING_S = 5.0
 
-#: Requests beyond its share that a caller may have been given before its openings are refused,
-#: as a part of the share and beside it.  Source: a caller that asks at random has twice the root
-#: of its share more than that once in forty times; at shares of a few requests that is this.
-SLACK_FACTOR = 1.5
-SLACK_REQUESTS = 2.0
+#: Deviations by which a caller may be above its share before its openings are refused, and
+#: requests beside them.  Source: one that asks at random for its share is more than two
+#: deviations, the root of the share each, above it once in forty times.
+SLACK_DEVIATIONS = 2
+SLACK_REQUESTS = 1
+
+#: Part of its share up to which a caller goes before others, and faded requests that are never
+#: too many.  Source: who asks at random for its share is seldom below half of it; who asks for
+#: less must not wait behind one that takes all that is left.
+LOW_PART = 0.5
+LEAST_GIVEN = 1.0
 
 NO_LEVEL = float('inf')
 
@@ -53,7 +61,8 @@
     """Hold what callers of one pool asked for and were given, and the share of each.
 
     Requests are counted while it is `counting`: some wait here, or a neighbour says that they do
-    there.  `above` callers are refused as it was last reckoned.  `level` is the most that a caller may be given by max-min shares, in faded requests.
+    there.  `level` is the most that a caller may be given by max-min shares, in faded requests;
+    `above` callers were far above it when it was reckoned last.
     """
 
     __slots__ = (
@@ -96,15 +105,25 @@
         elsewhere = self._elsewhere_by_caller.get(caller, 0)
         return self._sketch.given_to(caller, now) + elsewhere
 
-    def beyond(self, caller: int, now: float) -> int:
-        """Return how many whole requests beyond its share a caller was given."""
-        if self.level == NO_LEVEL:
+    def place(self, caller: int, now: float) -> int:
+        """Return the place of a caller among those that wait: zero for one far below its share.
+
+        Equals in this are those up to half of the share, and those up to the share; above it
+        each further request counts.
+        """
+        given = self.given_to(caller, now)
+        if given <= max(self.level * LOW_PART, LEAST_GIVEN):
             return 0
-        return max(0, int(self.given_to(caller, now) - self.level))
+        if given <= self.level:
+            return 1
+        return 2 + int(given - self.level)
 
     def refuses(self, caller: int, now: float) -> bool:
         """Whether a caller was given so much that its openings need not wait."""
-        return self.given_to(caller, now) > self.level * SLACK_FACTOR + SLACK_REQUESTS
+        if self.level == NO_LEVEL:
+            return False
+        slack = SLACK_DEVIATIONS * sqrt(self.level) + SLACK_REQUESTS
+        return self.given_to(caller, now) > self.level + slack
 
     def callers_above(self, now: float) -> list[int]:
         """Return the callers whose openings are refused, the heaviest first."""
--- a/src/bronzekeel/core/routing/caller_sketch.py
+++ b/src/bronzekeel/core/routing/caller_sketch.py
@@ -23,6 +23,10 @@
 #: more than a data centre's upstreams have room for in an overload.
 DISTINCT_BITS = 64
 
+#: Multiplier and range of a hash.  Source: Knuth, The Art of Computer Programming, 6.4.
+_GOLDEN_RATIO = 0x9E3779B1
+_HASH_RANGE = 1 << 32
+
 #: Exponent from which weights are reckoned anew.  Source: far below what a float can hold.
 _MOST_EXPONENT = 50.0
 
@@ -159,8 +163,13 @@
             self._former_seen = self._seen if now < self._newer_at + FADE_S else 0
             self._seen = 0
             self._newer_at = now + FADE_S
-        place = crc32(caller.to_bytes(4, 'big')) % DISTINCT_BITS
-        self._seen |= 1 << place
+        self._seen |= 1 << _bit_of(caller)
+
+
+def _bit_of(caller: int) -> int:
+    """Return the bit of a caller: the head of a product, since a checksum alone is linear."""
+    product = crc32(caller.to_bytes(4, 'big')) * _GOLDEN_RATIO % _HASH_RANGE
+    return product * DISTINCT_BITS // _HASH_RANGE
 
 
 def distinct_of(seen: int) -> float:
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -82,7 +82,7 @@
         request = waiting.take_ended(now)
         while request is not None:
             if request.goes_on(now):
-                yield from self._go_on(request, now)
+                yield from self._go_on_in_turn(request, now)
             else:
                 for refused in request.packets:
                     yield refused, self._refuse(refused, request, now)
@@ -92,6 +92,18 @@
             yield from self._go_on(request, now)
             request = waiting.take_ready(now)
 
+    def _go_on_in_turn(
+        self,
+        request: WaitingRequest,
+        now: float,
+    ) -> Iterator[tuple[FlowPacket, Verdict]]:
+        """Send a request on before there is room, and those that are more urgent before it."""
+        urgent = self._state.waiting.take_more_urgent(request, now)
+        while urgent is not None:
+            yield from self._go_on(urgent, now)
+            urgent = self._state.waiting.take_more_urgent(request, now)
+        yield from self._go_on(request, now)
+
     def _go_on(
         self,
         request: WaitingRequest,
--- a/src/bronzekeel/core/routing/waiting.py
+++ b/src/bronzekeel/core/routing/waiting.py
@@ -16,7 +16,7 @@
 
 from bronzekeel.core.routing.model import FlowPacket, Route
 from bronzekeel.core.routing.pools import Pool
-from bronzekeel.core.routing.waiting_bounds import wait_s
+from bronzekeel.core.routing.waiting_bounds import WAIT_ON_S, wait_s
 
 
 #: Bytes of packets that wait at most; beyond them requests go on without waiting.  Source: an
@@ -168,13 +168,12 @@
         until = now + wait_s(packet, pool, route, now)
         request = WaitingRequest(packet, pool, route.priority, until, now + route.timeout_s)
         pool.waiting_open += not request.opens
-        self._number += 1
         self._by_flow[packet.flow] = request
         self._bytes += request.size
         if pool not in self._queue_by_pool:
             self._queue_by_pool[pool] = self._order.queue_of(pool)
+        self._note_end(request)
         self._queue_by_pool[pool].add(request, self._number)
-        heappush(self._by_end, (request.until, self._number, request))
 
     def join(self, request: WaitingRequest, packet: FlowPacket) -> None:
         """Let a further packet wait with its request; repeats of a packet are dropped."""
@@ -194,11 +193,27 @@
     def take_ended(self, now: float) -> WaitingRequest | None:
         """Take out the next request that has waited long enough, None if none has."""
         end = self.next_end
-        if end is None or now < end:
+        while end is not None and now >= end:
+            request = heappop(self._by_end)[2]
+            if not self._waits_on(request, now):
+                self.end(request, now)
+                return request
+            request.until = min(now + WAIT_ON_S, request.given_up_at)
+            self._note_end(request)
+            end = self.next_end
+        return None
+
+    def take_more_urgent(self, request: WaitingRequest, now: float) -> WaitingRequest | None:
+        """Take out the first of those that are more urgent than one that goes on before there is room.
+
+        None is taken if there is none, or if `request` does not go on.
+        """
+        queue = self._queue_by_pool.get(request.pool)
+        first = queue.first(now) if queue else None
+        if first is None or first.priority >= request.priority:
             return None
-        request = self._by_end[0][2]
-        self.end(request, now)
-        return request
+        self.end(first, now)
+        return first
 
     def take_ready(self, now: float) -> WaitingRequest | None:
         """Take out the first request that has room by now, None if none has."""
@@ -215,3 +230,14 @@
             self.end(request, now)
             return request
         return None
+
+    def _note_end(self, request: WaitingRequest) -> None:
+        self._number += 1
+        heappush(self._by_end, (request.until, self._number, request))
+
+    def _waits_on(self, request: WaitingRequest, now: float) -> bool:
+        """Whether a request that is to go on waits longer: its caller is far above its share."""
+        callers = request.pool.callers
+        if callers is None or not request.goes_on(now):
+            return False
+        return callers.refuses(callers.caller_of(request.packets[0].flow), now)
--- a/src/bronzekeel/core/routing/waiting_bounds.py
+++ b/src/bronzekeel/core/routing/waiting_bounds.py
@@ -27,6 +27,16 @@
 #: upstream and the work; whoever waits longer than this is late in any case.
 OPEN_WAIT_PART = 0.5
 
+#: Seconds after which a request on an open flow is looked at again whose caller is above its
+#: share.  Source: shares are reckoned as often.
+WAIT_ON_S = 0.1
+
+#: Part of a route's latency objective for which an opening waits at most in an overload where
+#: demand is controlled.  Source: callers try three times, so that even the last attempt leaves a
+#: quarter for the way and the work; at a host that ends ten requests a second a
+#: slot comes free within it.
+OPENING_WAIT_PART = 0.25
+
 #: Least and most part of its wait after which an opening is refused where demand is controlled.
 #: Source: what comes back at once then comes over as long a time as it waited.
 _LEAST_SPREAD = 0.5
@@ -39,7 +49,10 @@
     controlled = pool.callers is not None
     if packet.opens:
         opening_wait_s = _opening_wait_s(pool, now)
-        return opening_wait_s * _spread(packet.flow) if controlled else opening_wait_s
+        if not controlled:
+            return opening_wait_s
+        wanted_s = route.objective_s * OPENING_WAIT_PART
+        return max(opening_wait_s, wanted_s) * _spread(packet.flow)
     if controlled and route.objective_s:
         return min(route.objective_s * OPEN_WAIT_PART, route.timeout_s)
     return route.timeout_s
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -70,6 +70,7 @@
                 seal_of(kind.key),
                 kind.priority,
                 kind.timeout_s,
+                objective_s=kind.objective_s,
             )
             for kind in kinds
         }
@@ -130,7 +131,8 @@
     ) -> None:
         """Let requests arrive at random, ``rate_of`` a second, for some time, a flow each."""
         for at_s in self._arrivals(rate_of, lasting_s):
-            begin = partial(self._begin, kind, self._any_centre(), None, _forget)
+            tally = self.tally_by_kind[kind.name]
+            begin = partial(self._begin, tally, self._any_centre(), None, _forget)
             self.fleet.at(at_s, begin)
 
     def ask_from_clients(
@@ -146,9 +148,24 @@
         """
         centres = cycle(self._centre_by_weight)
         idle_by_client: list[tuple[str, list[Flow]]] = [(next(centres), []) for _ in range(clients)]
+        tally = self.tally_by_kind[kind.name]
         for at_s in self._arrivals(rate_of, lasting_s):
             client = self.fleet.random.choice(idle_by_client)
-            self.fleet.at(at_s, partial(self._ask_from, kind, *client))
+            self.fleet.at(at_s, partial(self._ask_from, tally, *client))
+
+    def ask_from_address(
+        self,
+        address: bytes,
+        rate_of: Callable[[float], float],
+        lasting_s: float,
+        tally: Tally,
+    ) -> None:
+        """Let requests arrive at random from one address, and count what they feel in `tally`."""
+        idle_by_centre: dict[str, list[Flow]] = {centre: [] for centre in CENTRES}
+        for at_s in self._arrivals(rate_of, lasting_s):
+            centre = self._any_centre()
+            idle = idle_by_centre[centre] if tally.kind.keeps_flow else []
+            self.fleet.at(at_s, partial(self._ask_from, tally, centre, idle, address))
 
     def hold_flows(self, users: int, lasting_s: float, kind: RequestKind = SINGLE) -> None:
         """Let users send request after request on long flows, for some time."""
@@ -198,7 +215,13 @@
         self.fleet.store.remove(Collection.UPSTREAMS, name)
         self.fleet.tell_watches()
 
-    def _ask_from(self, kind: RequestKind, centre: str, idle: list[Flow]) -> None:
+    def _ask_from(
+        self,
+        tally: Tally,
+        centre: str,
+        idle: list[Flow],
+        address: bytes = b'',
+    ) -> None:
         """Send a request of a client on one of its idle flows or a new one."""
         flow = idle.pop() if idle else None
 
@@ -206,7 +229,7 @@
             if used is not None and not used.ended:
                 idle.append(used)
 
-        self._begin(kind, centre, flow, keep)
+        self._begin(tally, centre, flow, keep, address)
 
     def _ask_on(
         self,
@@ -226,20 +249,21 @@
             kept = used if left > 1 else None
             self.fleet.at(pause_s, partial(self._ask_on, kind, centre, kept, remaining, until))
 
-        self._begin(kind, centre, flow, go_on)
+        self._begin(self.tally_by_kind[kind.name], centre, flow, go_on)
 
     def _begin(
         self,
-        kind: RequestKind,
+        tally: Tally,
         centre: str,
         flow: Flow | None,
         then: Callable[[Flow | None], None],
+        address: bytes = b'',
     ) -> None:
+        kind = tally.kind
         spread = self.fleet.random.uniform(1 - kind.work_spread, 1 + kind.work_spread)
         work_s = kind.work_s * spread
-        tally = self.tally_by_kind[kind.name]
         tally.arrivals.append((self.elapsed_s, work_s))
-        self.callers.send(Request(tally, centre, self.fleet.now, work_s, then), flow)
+        self.callers.send(Request(tally, centre, self.fleet.now, work_s, then, address), flow)
 
 
 def _forget(flow: Flow | None) -> None:
--- a/src/bronzekeel/replay/load_callers.py
+++ b/src/bronzekeel/replay/load_callers.py
@@ -32,6 +32,8 @@
 _AFTER_REFUSAL_S = 0.001
 _AFTER_TURNED_AWAY_S = (0.005, 0.05)
 
+_PORTS = 1 << 16
+
 #: Bytes of a request and of an upstream's word that it turned one away.
 _REQUEST_BYTES = 200
 
@@ -40,7 +42,8 @@
 class RequestKind:
     """Say what callers ask for.
 
-    `key` is the route's address and port.  An answer within `aim_s` earns `worth`, a later one
+    `key` is the route's address and port, `objective_s` the latency objective that its text states,
+    zero if it states none.  An answer within `aim_s` earns `worth`, a later one
     `late_worth`; callers give up after `timeout_s`.  `keeps_flow` tells that they ask on open
     flows where they have some.
     """
@@ -55,6 +58,7 @@
     late_worth: float = 0.3
     priority: int = 0
     keeps_flow: bool = False
+    objective_s: float = 0
 
 
 @dataclass(slots=True)
@@ -89,9 +93,12 @@
 
 
 class Request:
-    """Hold one request from its caller's first attempt to its end."""
+    """Hold one request from its caller's first attempt to its end.
+
+    The caller's `address` is four bytes; without one each flow has another.
+    """
 
-    __slots__ = ('attempts', 'begun_at', 'centre', 'ended', 'tally', 'then', 'work_s')
+    __slots__ = ('address', 'attempts', 'begun_at', 'centre', 'ended', 'tally', 'then', 'work_s')
 
     def __init__(
         self,
@@ -100,8 +107,10 @@
         begun_at: float,
         work_s: float,
         then: Callable[['Flow | None'], None],
+        address: bytes = b'',
     ) -> None:
         """Begin; `then` goes on with the flow that answered, None when the request failed."""
+        self.address = address
         self.tally = tally
         self.centre = centre
         self.begun_at = begun_at
@@ -175,13 +184,19 @@
             return
         request.attempts += 1
         self._numbers += 1
-        key = self._numbers.to_bytes(6, 'big') + request.tally.kind.key
+        key = self._caller_end(request) + request.tally.kind.key
         flow = Flow(key, self._host_in(request.centre))
         self._send_opening(flow, request, 0)
         for copy, delay_s in enumerate(_COPIES_S, start=1):
             self.fleet.at(delay_s, partial(self._send_opening, flow, request, copy))
         self.fleet.at(_GIVE_UP_S, partial(self._give_up_opening, flow, request))
 
+    def _caller_end(self, request: Request) -> bytes:
+        """Return the address and port that a new flow comes from."""
+        if not request.address:
+            return self._numbers.to_bytes(6, 'big')
+        return request.address + (self._numbers % _PORTS).to_bytes(2, 'big')
+
     def _host_in(self, centre: str) -> str:
         """Return a host that takes packets, any of them when none does."""
         names = self._names_by_centre[centre]
