--- a/src/bronzekeel/bench/load_policies.py
+++ b/src/bronzekeel/bench/load_policies.py
@@ -11,8 +11,15 @@
     WaitTarget,
 )
 from bronzekeel.bench.placement_policies import OwnSight, RandomNear, Summed, TwoChoices
-from bronzekeel.bench.waiting_policies import OldestFirst, PriorityBlind
+from bronzekeel.bench.waiting_policies import (
+    OldestFirst,
+    PriorityBlind,
+    RoundRobin,
+    StochasticFairness,
+    TokensByShare,
+)
 from bronzekeel.core.routing.placement import EqualWork
+from bronzekeel.core.routing.waiting import NewestFirst
 from bronzekeel.replay.routing_fleet import FleetPolicies
 
 
@@ -34,5 +41,9 @@
         'wait_target': FleetPolicies(admission_of=WaitTarget),
         'oldest_first': FleetPolicies(order_of=OldestFirst),
         'priority_blind': FleetPolicies(order_of=PriorityBlind),
+        'newest_first': FleetPolicies(order_of=NewestFirst),
+        'round_robin': FleetPolicies(order_of=RoundRobin),
+        'stochastic_fairness': FleetPolicies(order_of=StochasticFairness),
+        'tokens_by_share': FleetPolicies(order_of=TokensByShare),
     },
 )
