--- a/src/bronzekeel/core/routing/caller_queue.py
+++ b/src/bronzekeel/core/routing/caller_queue.py
@@ -14,6 +14,7 @@
 
 
 _Rank = tuple[int, int]
+_Placed = tuple[tuple[int, int, _Rank], WaitingRequest]
 
 
 class _Ordered:
@@ -67,41 +68,43 @@
 
     def first(self, now: float) -> WaitingRequest | None:
         """Return the request that goes on first, None if none waits."""
-        self._take_back(now)
-        self._set_aside(now)
-        chosen = self._within.first
-        chosen_key: tuple[int, int, _Rank] | None = None
-        if chosen is not None:
-            chosen_key = (chosen[0][0], 0, chosen[0])
-        for caller, aside in self._aside_by_caller.items():
-            front = aside.first
-            if front is None:
-                continue
-            key = (front[0][0], self._shares.place(caller, now), front[0])
-            if chosen_key is None or key < chosen_key:
-                chosen = front
-                chosen_key = key
-        return chosen[1] if chosen else None
-
-    def _take_back(self, now: float) -> None:
-        """Join the requests of callers that are within their shares again with the others."""
-        for caller, aside in list(self._aside_by_caller.items()):
-            if aside.first is not None and self._shares.place(caller, now):
-                continue
-            self._aside_by_caller.pop(caller)
-            for rank, request in aside.take_all():
-                self._within.add(rank, request)
-
-    def _set_aside(self, now: float) -> None:
-        """Set the requests in front aside until one is of a caller within its share."""
+        best = self._first_aside(now)
         front = self._within.first
         while front is not None:
-            caller = self._shares.caller_of(front[1].packets[0].flow)
-            if not self._shares.place(caller, now):
-                return
-            aside = self._aside_by_caller.setdefault(caller, _Ordered())
+            placed = self._placed(front, now)
+            if best is None or placed[0] < best[0]:
+                best = placed
+            if not placed[0][1]:
+                break
+            aside = self._aside_by_caller.setdefault(self._caller(front[1]), _Ordered())
             aside.add(*self._within.pop())
             front = self._within.first
+        return best[1] if best else None
+
+    def _first_aside(self, now: float) -> _Placed | None:
+        """Return the first that was set aside; join those that need not be with the others."""
+        best: _Placed | None = None
+        for caller, aside in list(self._aside_by_caller.items()):
+            front = aside.first
+            placed = self._placed(front, now) if front else None
+            if placed is None or not placed[0][1]:
+                self._aside_by_caller.pop(caller)
+                self._take_back(aside)
+            elif best is None or placed[0] < best[0]:
+                best = placed
+        return best
+
+    def _take_back(self, aside: _Ordered) -> None:
+        for rank, request in aside.take_all():
+            self._within.add(rank, request)
+
+    def _placed(self, ranked: tuple[_Rank, WaitingRequest], now: float) -> _Placed:
+        """Return a request with its priority, its caller's place, and its rank."""
+        rank, request = ranked
+        return (rank[0], self._shares.place(self._caller(request), now), rank), request
+
+    def _caller(self, request: WaitingRequest) -> int:
+        return self._shares.caller_of(request.packets[0].flow)
 
 
 class SharedAmongCallers(NewestFirst):
--- a/src/bronzekeel/core/routing/waiting.py
+++ b/src/bronzekeel/core/routing/waiting.py
@@ -56,7 +56,7 @@
 
     def goes_on(self, now: float) -> bool:
         """Whether it is sent on after its wait: it cannot be refused and is wanted still."""
-        return not self.opens and self.pool.callers is not None and now < self.given_up_at
+        return not self.opens and now < self.given_up_at
 
     @property
     def size(self) -> int:
--- /dev/null
+++ b/tests/caller_crowds.py
@@ -0,0 +1,133 @@
+"""Play a crowd of one caller beside forty others, for tests of what these feel."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import cache, partial
+
+from bronzekeel.replay.flow_load import CENTRES, FEED, SINGLE, FlowLoad
+from bronzekeel.replay.load_callers import RequestKind, Tally
+from bronzekeel.replay.routing_fleet import FleetPolicies
+
+
+#: Latency objective and time limit of all requests, seconds.
+OBJECTIVE_S = 0.5
+TIMEOUT_S = 4.0
+
+_CALLERS = 40
+_CROWD = bytes((100, 64, 9, 9))
+
+#: From when to when the crowd lasts, and how long callers ask, seconds from the start.
+_BEGINS_S = 2
+_ENDS_S = 8
+_LASTING_S = 10
+_LOOK_S = 0.05
+
+_ADDRESS_HEAD = (100, 64, 0)
+
+
+class Crowd:
+    """Play a crowd of one caller; count what others feel, and look at what waits."""
+
+    def __init__(
+        self,
+        policies: FleetPolicies,
+        *,
+        times: float = 10,
+        objective_s: float = OBJECTIVE_S,
+        lasting_s: float = _LASTING_S,
+        disturb: Callable[[FlowLoad], None] | None = None,
+    ) -> None:
+        single = _patient(SINGLE, objective_s)
+        feed = _patient(FEED, objective_s)
+        self._load = FlowLoad(4, 4, policies, 1, kinds=(single, feed))
+        self._single = Tally(single)
+        self._feed = Tally(feed)
+        self._crowd = (Tally(single), Tally(feed))
+        self.looks = 0
+        self.waited_beside_room = 0
+        self._ask(times, lasting_s)
+        if disturb is not None:
+            disturb(self._load)
+        at_s = float(_BEGINS_S)
+        while at_s < _ENDS_S:
+            self._load.fleet.at(at_s, self._look)
+            at_s += _LOOK_S
+        self._load.fleet.run(lasting_s + 6)
+
+    @property
+    def latencies(self) -> list[float]:
+        """Seconds to each answer that others got."""
+        return [*self._single.latencies, *self._feed.latencies]
+
+    @property
+    def late_share(self) -> float:
+        """Share of the others' requests that were not answered in time."""
+        return _late_share(self._single, self._feed)
+
+    @property
+    def late_share_of_crowd(self) -> float:
+        """The same of the crowd's."""
+        return _late_share(*self._crowd)
+
+    @property
+    def p99_of_open(self) -> float:
+        """Seconds to all but a hundredth of the answers on open flows."""
+        latencies = sorted(self._feed.latencies)
+        return latencies[len(latencies) * 99 // 100]
+
+    def _ask(self, times: float, lasting_s: float) -> None:
+        """Let others ask for three quarters of what can be done, a third of it on new flows."""
+        load = self._load
+        slots = sum(server.kind.slots for server in load.server_by_name.values())
+        most = slots / SINGLE.work_s
+        own = most * 0.75 / _CALLERS
+        share = most / (_CALLERS + 1)
+        for number in range(_CALLERS):
+            address = bytes((*_ADDRESS_HEAD, number))
+            load.ask_from_address(address, _steady(own * 0.3), lasting_s, self._single)
+            load.ask_from_address(address, _steady(own * 0.7), lasting_s, self._feed)
+        for tally, part in zip(self._crowd, (0.3, 0.7), strict=True):
+            rate = share * part
+            load.ask_from_address(_CROWD, _burst(rate, rate * times), lasting_s, tally)
+
+    def _look(self) -> None:
+        for node in self._load.fleet.running:
+            for pool in node.state.directory.pools_of(node.me.data_centre):
+                self.looks += bool(pool.waiting)
+                self.waited_beside_room += pool.waiting > 0 and pool.busy < pool.limit
+
+
+@cache
+def played(times: float, objective_s: float) -> Crowd:
+    """Return a crowd of so many times its share, played once for all tests."""
+    return Crowd(FleetPolicies(), times=times, objective_s=objective_s)
+
+
+def restart_a_host(load: FlowLoad) -> None:
+    """Let a host be down for two seconds while the crowd lasts."""
+    name = f'{CENTRES[0]}-0'
+    load.fleet.at(4, partial(load.fleet.kill, name))
+    load.fleet.at(6, partial(load.fleet.restart, name))
+
+
+def _steady(rate: float) -> Callable[[float], float]:
+    return lambda at_s: rate
+
+
+def _burst(usual: float, most: float) -> Callable[[float], float]:
+    return lambda at_s: most if _BEGINS_S <= at_s < _ENDS_S else usual
+
+
+def _patient(kind: RequestKind, objective_s: float) -> RequestKind:
+    return replace(
+        kind,
+        aim_s=OBJECTIVE_S,
+        objective_s=objective_s,
+        timeout_s=TIMEOUT_S,
+        priority=0,
+    )
+
+
+def _late_share(*tallies: Tally) -> float:
+    asked = sum(len(tally.arrivals) for tally in tallies)
+    return 1 - sum(tally.in_time for tally in tallies) / asked
--- a/tests/test_caller_shares.py
+++ b/tests/test_caller_shares.py
@@ -1,11 +1,9 @@
 """Test how callers share a service that is short, and what becomes of those that ask for more."""
 
-from collections.abc import Callable
-from dataclasses import replace
-from functools import partial
 from random import Random
 from types import MappingProxyType
 from unittest import TestCase
+from unittest.mock import Mock
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.caller_queue import CallerQueue
@@ -29,6 +27,7 @@
     pack_word,
     unpack_word,
 )
+from bronzekeel.core.routing.decisions import Decision
 from bronzekeel.core.routing.effects import WriteLine
 from bronzekeel.core.routing.events import ChangesRead, HeartbeatHeard, StoredObject, Ticked
 from bronzekeel.core.routing.follower import Collection
@@ -46,11 +45,13 @@
     WaitingRequests,
 )
 from bronzekeel.core.routing.waiting_bounds import OPEN_WAIT_PART, wait_s
+from bronzekeel.entry.decision_log import LineDecisionLog
+from bronzekeel.entry.metrics import metrics_of
 from bronzekeel.entry.peer_messages import MessageError, decode_heartbeat, encode_heartbeat
 from bronzekeel.entry.settings import EntrySettings, SettingsError
-from bronzekeel.replay.flow_load import CENTRES, FEED, SINGLE, FlowLoad
-from bronzekeel.replay.load_callers import RequestKind, Tally
+from bronzekeel.replay.flow_load import CENTRES
 from bronzekeel.replay.routing_fleet import FleetPolicies
+from tests.caller_crowds import OBJECTIVE_S, TIMEOUT_S, Crowd, played, restart_a_host
 from tests.routing_cases import (
     HOME,
     PORTAL,
@@ -69,13 +70,7 @@
 )
 
 
-_OBJECTIVE_S = 0.5
-_TIMEOUT_S = 4.0
 _CALLERS = 40
-_CROWD = bytes((100, 64, 9, 9))
-_BEGINS_S = 2
-_ENDS_S = 8
-_LASTING_S = 10
 
 #: Share of late requests that a caller which keeps to its share bears while another sends ten times
 #: its own: what the issue asks for.
@@ -374,7 +369,7 @@
     def test_a_request_on_an_open_flow_is_sent_on(self) -> None:
         """Guards against open flows that starve behind newer requests until they are given up."""
         self._ask_on_open_flow()
-        until = _OBJECTIVE_S * OPEN_WAIT_PART
+        until = OBJECTIVE_S * OPEN_WAIT_PART
         self.assertEqual([], _resumed(self.chosen, until - 0.01))
         sent = _resumed(self.chosen, until)
         self.assertEqual([entry(1).name], sent)
@@ -383,7 +378,7 @@
     def test_a_more_urgent_request_is_not_passed(self) -> None:
         """Guards against a bound on waiting that lets the less urgent go first."""
         self._ask_on_open_flow()
-        until = _OBJECTIVE_S * OPEN_WAIT_PART
+        until = OBJECTIVE_S * OPEN_WAIT_PART
         urgent = _of_priority(_patient_route(), -1)
         self.state.waiting.add(opening(3), self.pool, urgent, until - 0.01)
         packets = [packet for packet, _ in self.chosen.resume(until)]
@@ -392,7 +387,7 @@
     def test_who_was_given_up_is_not_sent_on(self) -> None:
         """Guards against work for a caller that is gone after a host stood still."""
         self._ask_on_open_flow()
-        verdicts = _resumed(self.chosen, _TIMEOUT_S)
+        verdicts = _resumed(self.chosen, TIMEOUT_S)
         self.assertEqual(['Discard given_up'], verdicts)
 
     def test_it_is_logged_once(self) -> None:
@@ -434,8 +429,8 @@
 
     def test_every_answer_is_the_same(self) -> None:
         """Guards against another order, other waits or refusals where nothing is controlled."""
-        plain = _Crowd(FleetPolicies(order_of=NewestFirst), objective_s=0, lasting_s=4)
-        shared = _Crowd(FleetPolicies(), objective_s=0, lasting_s=4)
+        plain = Crowd(FleetPolicies(order_of=NewestFirst), objective_s=0, lasting_s=4)
+        shared = Crowd(FleetPolicies(), objective_s=0, lasting_s=4)
         self.assertEqual(plain.latencies, shared.latencies)
 
 
@@ -458,159 +453,80 @@
                 EntrySettings({**_SETTINGS, 'caller_bits': wrong})
 
 
+class ToldTest(TestCase):
+    """What operators see."""
+
+    def test_a_refusal_tells_the_share(self) -> None:
+        """Guards against callers who are refused and nobody can say why."""
+        state = _covered_state()
+        shares = _shares_of(state)
+        shares.note_short(0)
+        for _ in range(20):
+            shares.note(flow(2), 0, given=True)
+        shares.level = 2
+        pool = next(iter(state.directory.pools_of(HOME)))
+        written: list[dict[str, object]] = []
+        lines = Mock()
+        lines.write = lambda number, fields, now: written.append(fields)
+        refusal = Decision('refused', opening(2), 'above_share', pool=pool)
+        LineDecisionLog(lines, state).note(refusal, 0)
+        self.assertEqual((20, 2), (written[0]['given'], written[0]['share']))
+
+    def test_metrics(self) -> None:
+        """Guards against a crowd that no metric shows."""
+        page = metrics_of(_covered_state(), 0, {}, 0, 0).decode()
+        self.assertIn('bronzekeel_callers_above_share{kind="portal"} 0', page)
+        self.assertIn('bronzekeel_requests_waiting_open{kind="portal"} 0', page)
+
+
 class CrowdTest(TestCase):
     """One caller asks for ten times its share beside forty others, at twelve hosts."""
 
     def test_the_others_notice_nothing(self) -> None:
         """Guards against a crowd of one that makes the answers of all others late."""
-        self.assertGreater(_Crowd(FleetPolicies(), objective_s=0).late_share, _MOST_LATE)
-        crowd = _Crowd(FleetPolicies())
+        self.assertGreater(played(10, 0).late_share, _MOST_LATE)
+        crowd = played(10, OBJECTIVE_S)
         self.assertLess(crowd.late_share, _MOST_LATE)
         self.assertGreater(crowd.late_share_of_crowd, crowd.late_share)
 
     def test_twenty_times_its_share(self) -> None:
         """Guards against a crowd that is large enough to get its way."""
-        without = _Crowd(FleetPolicies(), times=20, objective_s=0)
-        crowd = _Crowd(FleetPolicies(), times=20)
-        self.assertLess(crowd.late_share, without.late_share / 2)
+        without = played(20, 0)
+        self.assertLess(played(20, OBJECTIVE_S).late_share, without.late_share / 2)
 
     def test_no_request_waits_while_there_is_room(self) -> None:
         """Guards against shares that leave slots idle."""
-        crowd = _Crowd(FleetPolicies(), times=20)
+        crowd = played(20, OBJECTIVE_S)
         self.assertGreater(crowd.looks, 100)
         self.assertEqual(0, crowd.waited_beside_room)
 
     def test_open_flows_do_not_starve(self) -> None:
         """Guards against requests on open flows that wait until their callers give them up."""
-        without = _Crowd(FleetPolicies(), times=20, objective_s=0)
-        crowd = _Crowd(FleetPolicies(), times=20)
-        self.assertGreater(without.p99_of_open, 2 * _OBJECTIVE_S)
-        self.assertLess(crowd.p99_of_open, _OBJECTIVE_S)
+        self.assertGreater(played(20, 0).p99_of_open, 2 * OBJECTIVE_S)
+        self.assertLess(played(20, OBJECTIVE_S).p99_of_open, OBJECTIVE_S)
 
     def test_a_host_dies_halfway(self) -> None:
         """Guards against shares that stay wrong after a host with a part of the counts is gone."""
-        crowd = _Crowd(FleetPolicies(), disturb=_restart_a_host)
-        without = _Crowd(FleetPolicies(), objective_s=0, disturb=_restart_a_host)
+        crowd = Crowd(FleetPolicies(), disturb=restart_a_host)
+        without = Crowd(FleetPolicies(), objective_s=0, disturb=restart_a_host)
         self.assertLess(crowd.late_share, without.late_share)
 
     def test_a_data_centre_is_cut_off(self) -> None:
         """Guards against shares that need other data centres or the store."""
-        crowd = _Crowd(
+        crowd = Crowd(
             FleetPolicies(),
             disturb=lambda load: load.fleet.cut_centres.add(CENTRES[0]),
         )
         self.assertLess(crowd.late_share, _MOST_LATE)
 
 
-class _Crowd:
-    """Play a crowd of one caller; count what others feel, and look at what waits."""
-
-    def __init__(
-        self,
-        policies: FleetPolicies,
-        *,
-        times: float = 10,
-        objective_s: float = _OBJECTIVE_S,
-        lasting_s: float = _LASTING_S,
-        disturb: Callable[[FlowLoad], None] | None = None,
-    ) -> None:
-        single = _patient(SINGLE, objective_s)
-        feed = _patient(FEED, objective_s)
-        self._load = FlowLoad(4, 4, policies, 1, kinds=(single, feed))
-        self._single = Tally(single)
-        self._feed = Tally(feed)
-        self._crowd = (Tally(single), Tally(feed))
-        self.looks = 0
-        self.waited_beside_room = 0
-        self._ask(times, lasting_s)
-        if disturb is not None:
-            disturb(self._load)
-        at_s = float(_BEGINS_S)
-        while at_s < _ENDS_S:
-            self._load.fleet.at(at_s, self._look)
-            at_s += 0.05
-        self._load.fleet.run(lasting_s + 6)
-
-    @property
-    def latencies(self) -> list[float]:
-        """Seconds to each answer that others got."""
-        return [*self._single.latencies, *self._feed.latencies]
-
-    @property
-    def late_share(self) -> float:
-        """Share of the others' requests that were not answered in time."""
-        return _late_share(self._single, self._feed)
-
-    @property
-    def late_share_of_crowd(self) -> float:
-        """The same of the crowd's."""
-        return _late_share(*self._crowd)
-
-    @property
-    def p99_of_open(self) -> float:
-        """Seconds to all but a hundredth of the answers on open flows."""
-        latencies = sorted(self._feed.latencies)
-        return latencies[len(latencies) * 99 // 100]
-
-    def _ask(self, times: float, lasting_s: float) -> None:
-        """Let others ask for three quarters of what can be done, a third of it on new flows."""
-        load = self._load
-        slots = sum(server.kind.slots for server in load.server_by_name.values())
-        most = slots / SINGLE.work_s
-        own = most * 0.75 / _CALLERS
-        share = most / (_CALLERS + 1)
-        for number in range(_CALLERS):
-            address = bytes((100, 64, 0, number))
-            load.ask_from_address(address, _steady(own * 0.3), lasting_s, self._single)
-            load.ask_from_address(address, _steady(own * 0.7), lasting_s, self._feed)
-        for tally, part in zip(self._crowd, (0.3, 0.7), strict=True):
-            rate = share * part
-            load.ask_from_address(_CROWD, _burst(rate, rate * times), lasting_s, tally)
-
-    def _look(self) -> None:
-        for node in self._load.fleet.running:
-            for pool in node.state.directory.pools_of(node.me.data_centre):
-                self.looks += bool(pool.waiting)
-                self.waited_beside_room += pool.waiting > 0 and pool.busy < pool.limit
-
-
-def _restart_a_host(load: FlowLoad) -> None:
-    """Let a host be down for two seconds while the crowd lasts."""
-    name = f'{CENTRES[0]}-0'
-    load.fleet.at(4, partial(load.fleet.kill, name))
-    load.fleet.at(6, partial(load.fleet.restart, name))
-
-
-def _steady(rate: float) -> Callable[[float], float]:
-    return lambda at_s: rate
-
-
-def _burst(usual: float, most: float) -> Callable[[float], float]:
-    return lambda at_s: most if _BEGINS_S <= at_s < _ENDS_S else usual
-
-
-def _patient(kind: RequestKind, objective_s: float) -> RequestKind:
-    return replace(
-        kind,
-        aim_s=_OBJECTIVE_S,
-        objective_s=objective_s,
-        timeout_s=_TIMEOUT_S,
-        priority=0,
-    )
-
-
-def _late_share(*tallies: Tally) -> float:
-    asked = sum(len(tally.arrivals) for tally in tallies)
-    return 1 - sum(tally.in_time for tally in tallies) / asked
-
-
 def _flow_of(caller: int) -> bytes:
     return caller.to_bytes(4, 'big') + bytes(2) + PORTAL_KEY
 
 
 def _patient_route() -> Route:
-    plain = route(PORTAL_KEY, PORTAL, 0, _TIMEOUT_S)
-    return Route(plain.key, plain.shares, plain.seal, 0, _TIMEOUT_S, objective_s=_OBJECTIVE_S)
+    plain = route(PORTAL_KEY, PORTAL, 0, TIMEOUT_S)
+    return Route(plain.key, plain.shares, plain.seal, 0, TIMEOUT_S, objective_s=OBJECTIVE_S)
 
 
 def _resumed(chosen: ConnectionIdSteering, now: float) -> list[str]:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -94,6 +94,19 @@
         self.assertIn('7 requests in progress of 6.5', cause)
         self.assertIn('4 others waited', cause)
 
+    def test_refused_above_the_share(self) -> None:
+        """Guards against callers who are refused and nobody can say why."""
+        refused = line(
+            LogNumber.FLOW_REFUSED,
+            1,
+            flow=_FLOW,
+            by='above_share',
+            service='portal',
+            given=20.5,
+            share=2.1,
+        )
+        self.assertIn('given 20.5 requests where its share is 2.1', cause_of(refused))
+
     def test_the_first_packet_went_to_a_host_that_was_down(self) -> None:
         """A host that sees repeats only is not the one that the first went to."""
         self.assertIn('a1 saw repeats of the opening packet only', cause_of(placed(1, 'i-1', 2)))
