--- a/tests/test_caller_shares.py
+++ b/tests/test_caller_shares.py
@@ -6,7 +6,7 @@
 from unittest.mock import Mock
 
 from bronzekeel.core.log_numbers import LogNumber
-from bronzekeel.core.routing.caller_queue import CallerQueue
+from bronzekeel.core.routing.caller_queue import CallerQueue, SharedAmongCallers
 from bronzekeel.core.routing.caller_shares import (
     NO_LEVEL,
     CallerShares,
@@ -42,7 +42,6 @@
     NewestFirst,
     RankedQueue,
     WaitingRequest,
-    WaitingRequests,
 )
 from bronzekeel.core.routing.waiting_bounds import OPEN_WAIT_PART, wait_s
 from bronzekeel.entry.decision_log import LineDecisionLog
@@ -423,9 +422,7 @@
         reduce(state, Ticked(), 0)
         pool = next(iter(state.directory.pools_of(HOME)))
         self.assertIsNone(pool.callers)
-        order = state.waiting
-        self.assertIsInstance(order, WaitingRequests)
-        self.assertIsInstance(NewestFirst().queue_of(pool), RankedQueue)
+        self.assertIsInstance(SharedAmongCallers().queue_of(pool), RankedQueue)
 
     def test_every_answer_is_the_same(self) -> None:
         """Guards against another order, other waits or refusals where nothing is controlled."""
