--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -130,6 +130,8 @@
     state.admission.reckon(now)
     pools = state.directory.pools_of(state.peers.me.data_centre)
     effects.extend(state.overloads.look(pools, now))
+    callers = state.demand.callers
+    effects.extend(callers.look(pools, state.peers, now, controlled=state.controls_demand))
     effects.extend(follow_on(state, now))
     effects.extend(ask_elsewhere(state, now))
     effects.extend(beat(state, now))
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -45,7 +45,9 @@
     idle_by_kind: dict[str, list[Flow]] = field(default_factory=dict)
 
     def idle_for(self, kind: RequestKind) -> list[Flow]:
-        """Return the idle flows for one kind of request."""
+        """Return the idle flows for one kind of request, none for one that opens a flow each."""
+        if not kind.keeps_flow:
+            return []
         return self.idle_by_kind.setdefault(kind.name, [])
 
 
--- a/src/bronzekeel/replay/load_addresses.py
+++ b/src/bronzekeel/replay/load_addresses.py
@@ -1,6 +1,7 @@
 """Give the callers of a replayed load addresses, and count what each of them felt."""
 
 from collections import deque
+from itertools import cycle
 
 
 #: Addresses of callers count up from here; their ports go round.
@@ -17,12 +18,12 @@
     requests and those that were answered in time.
     """
 
-    __slots__ = ('_address', '_port', 'asked', 'centre', 'crowd', 'in_time')
+    __slots__ = ('_address', '_ports', 'asked', 'centre', 'crowd', 'in_time')
 
     def __init__(self, number: int, centre: str) -> None:
         """Give the caller the address with a running number."""
         self._address = (_FIRST_ADDRESS + number).to_bytes(_ADDRESS_BYTES, 'big')
-        self._port = 0
+        self._ports = cycle(range(1, _MOST_PORT + 1))
         self.centre = centre
         self.crowd = False
         self.asked = 0
@@ -30,8 +31,14 @@
 
     def next_key(self, route_key: bytes) -> bytes:
         """Return the key of the next flow to a route: address, port, and the route's own."""
-        self._port = self._port % _MOST_PORT + 1
-        return self._address + self._port.to_bytes(_PORT_BYTES, 'big') + route_key
+        return self._address + next(self._ports).to_bytes(_PORT_BYTES, 'big') + route_key
+
+    def also_in(self, centre: str) -> 'Caller':
+        """Return the same address in another data centre, with counts of its own."""
+        other = Caller(0, centre)
+        other._address = self._address  # noqa: SLF001 (of the same class)
+        other._ports = self._ports  # noqa: SLF001 (likewise)
+        return other
 
 
 class CallerList:
