--- a/src/bronzekeel/core/routing/admission.py
+++ b/src/bronzekeel/core/routing/admission.py
@@ -13,7 +13,7 @@
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.model import Upstream
 from bronzekeel.core.routing.peers import PeerTable
-from bronzekeel.core.routing.placement import COLD_FACTOR
+from bronzekeel.core.routing.placement_by_capacity import COLD_FACTOR
 from bronzekeel.core.routing.pools import NO_LIMIT, REQUESTS_A_SLOT, Pool
 
 
@@ -173,7 +173,7 @@
     busy = sum(upstream.busy_flows for upstream in working)
     stuck: float = sum(upstream.busy_flows for upstream in upstreams) - busy
     for upstream in working:
-        others = (busy - upstream.busy_flows) / max(len(working) - 1, 1)
+        others = (busy - upstream.busy_flows) / max(len(working) - 1, 1) * upstream.speed
         stuck += max(0, upstream.busy_flows - others * STUCK_FACTOR - STUCK_SLACK)
     return stuck
 
--- /dev/null
+++ b/src/bronzekeel/core/routing/answer_counts.py
@@ -0,0 +1,183 @@
+"""Count the answers of upstreams by own sight, as figures that add up among hosts.
+
+An answer counts with its time beside the mean of its kind, so that an upstream that is asked for
+more work than others does not look slow.  A time counts for a few means at most: the long tail of
+the work is as likely at any upstream.
+
+What goes wrong with plain times: two upstreams of the same speed serve different kinds of
+requests, or one of them a request of a minute, and flows leave it.
+"""
+
+from bronzekeel.core.routing.model import Upstream, UpstreamEntry
+
+
+#: Times the mean of its kind that an answer counts for at most.  Source: an upstream that works
+#: five times slower is told apart by 0.8 of that, and of exponential work 0.7% is longer.
+MOST_MEANS = 5.0
+
+#: Share of the mean of its kind below which an answer is no work: an upstream without a free place
+#: turns requests away at once.  Source: of exponential work 5% is shorter.
+LEAST_MEANS = 0.05
+
+#: Answers of a kind that make its mean.  Source: its standard error is then a quarter of it, and
+#: the errors of hosts cancel in the sum.
+_SETTLED_ANSWERS = 16
+
+#: Answers that a mean is made of at most, the newest ones.
+_MOST_ANSWERS = 256
+
+#: Kinds of which means are kept at most.  Source: twice the routes of docs/CAPACITY.md would take
+#: half a megabyte; a host without a mean of a kind leaves out its first answers.
+_MOST_KINDS = 4000
+
+#: Upstreams that one message tells of at most, the most changed first.  Source: a host with ten
+#: requests a second, told each second, has no more to tell of.
+MOST_TOLD = 16
+
+#: Answers, and means, that one message tells of one upstream at most: a byte, and two bytes.
+MOST_ANSWERS_TOLD = 255
+MOST_MEANS_TOLD = 1023
+
+
+class AnswerCount:
+    """Hold the answers of one upstream: how many, and their sum in means of their kinds.
+
+    `start` tells starts of the upstream apart.
+    """
+
+    __slots__ = ('answers', 'means', 'number', 'start')
+
+    def __init__(self, number: int, start: int, answers: int = 0, means: float = 0) -> None:
+        """Count for the upstream with a short number."""
+        self.number = number
+        self.start = start
+        self.answers = answers
+        self.means = means
+
+
+class ToldCounts:
+    """Hold what a host counted since it last told.
+
+    `told_ms` is its steady clock in milliseconds, which orders its messages.
+    """
+
+    __slots__ = ('counts', 'told_ms')
+
+    def __init__(self, told_ms: int, counts: tuple[AnswerCount, ...]) -> None:
+        """Keep the counts as they are sent."""
+        self.told_ms = told_ms
+        self.counts = counts
+
+
+class KindMean:
+    """Hold the mean seconds of the answers of one kind of requests."""
+
+    __slots__ = ('_answers', '_mean_s')
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self._answers = 0
+        self._mean_s: float = 0
+
+    def measure(self, work_s: float) -> float | None:
+        """Take one answer; return its time in means, None if it counts for nothing."""
+        settled = self._answers >= _SETTLED_ANSWERS
+        if settled and work_s < LEAST_MEANS * self._mean_s:
+            return None
+        if settled:
+            work_s = min(work_s, MOST_MEANS * self._mean_s)
+        mean_s = self._mean_s
+        self._answers = min(self._answers + 1, _MOST_ANSWERS)
+        self._mean_s += (work_s - mean_s) / self._answers
+        return work_s / mean_s if settled and mean_s else None
+
+
+class Answer:
+    """Hold one answer: its upstream, its work in seconds and in means of its kind."""
+
+    __slots__ = ('means', 'upstream', 'work_s')
+
+    def __init__(self, upstream: Upstream, work_s: float, means: float) -> None:
+        """Keep what was measured."""
+        self.upstream = upstream
+        self.work_s = work_s
+        self.means = means
+
+
+class AnswerCounts:
+    """Count the answers of upstreams, and what of it neighbours are still to be told.
+
+    Answers to requests that began before `valid_from` count for nothing.
+    """
+
+    __slots__ = ('_mean_by_kind', '_taken', '_untold_by_upstream', 'valid_from')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.valid_from: float = 0
+        self._taken: list[Answer] = []
+        self._mean_by_kind: dict[bytes, KindMean] = {}
+        self._untold_by_upstream: dict[Upstream, AnswerCount] = {}
+
+    def note(self, upstream: Upstream, kind: bytes, asked_at: float, now: float) -> None:
+        """Take the answer of an upstream to a request of some kind.
+
+        While an upstream is cold its answers tell nothing of what it can do later.
+        """
+        if now < upstream.warm_at or asked_at < self.valid_from:
+            return
+        work_s = max(0, now - asked_at - upstream.pool.way_s)
+        if kind not in self._mean_by_kind and len(self._mean_by_kind) >= _MOST_KINDS:
+            self._mean_by_kind.pop(next(iter(self._mean_by_kind)))
+        means = self._mean_by_kind.setdefault(kind, KindMean()).measure(work_s)
+        if means is None:
+            return
+        self._taken.append(Answer(upstream, work_s, means))
+        untold = self._untold_by_upstream.get(upstream)
+        if untold is None:
+            untold = AnswerCount(upstream.entry.short_number, start_of(upstream.entry))
+            self._untold_by_upstream[upstream] = untold
+        untold.answers += 1
+        untold.means += means
+
+    def take(self) -> list[Answer]:
+        """Return the answers since the last call."""
+        taken = self._taken
+        self._taken = []
+        return taken
+
+    def tell(self, now: float) -> ToldCounts | None:
+        """Return what the next message tells, None if there is nothing; it is told once."""
+        if not self._untold_by_upstream:
+            return None
+        changed = sorted(self._untold_by_upstream, key=self._untold_answers, reverse=True)
+        told = [self._untold_by_upstream.pop(upstream) for upstream in changed[:MOST_TOLD]]
+        return ToldCounts(ms_of(now), tuple(map(_bounded, told)))
+
+    def _untold_answers(self, upstream: Upstream) -> int:
+        return self._untold_by_upstream[upstream].answers
+
+
+def start_of(entry: UpstreamEntry) -> int:
+    """Return a byte that mostly differs between two starts of an upstream."""
+    return entry.started_ms % _BYTE
+
+
+def ms_of(now: float) -> int:
+    """Return a moment in milliseconds as a message holds it; it wraps after seven weeks."""
+    return int(now * _MS) % CLOCK_RANGE
+
+
+def _bounded(count: AnswerCount) -> AnswerCount:
+    """Return a count that fits into its place; its mean stays."""
+    if count.answers <= MOST_ANSWERS_TOLD and count.means <= MOST_MEANS_TOLD:
+        return count
+    share = min(MOST_ANSWERS_TOLD / count.answers, MOST_MEANS_TOLD / max(count.means, 1))
+    answers = max(1, int(count.answers * share))
+    means = count.means * answers / count.answers
+    return AnswerCount(count.number, count.start, answers, means)
+
+
+_BYTE = 256
+_MS = 1000
+CLOCK_RANGE = 1 << 32
--- /dev/null
+++ b/src/bronzekeel/core/routing/answer_windows.py
@@ -0,0 +1,94 @@
+"""Keep answers of an upstream in a window that fades, and reckon the work of one from them."""
+
+from math import sqrt
+
+
+#: Steps of a bisection; the busy share of the slots is then known to a four-thousandth.
+_STEPS = 12
+
+#: Seconds that a window has seen when it starts: the first message tells of up to a second.
+_FIRST_S = 1.0
+
+#: Answers in a window below which nothing is reckoned from it.
+_FEWEST_ANSWERS = 1.0
+
+
+class AnswerWindow:
+    """Hold faded sums of answers: how many, their means, and the seconds that they took to come.
+
+    `evidence` is how many equally weighted answers are as sure.
+    """
+
+    __slots__ = ('_half_life_s', '_squares', 'answers', 'means', 'seconds')
+
+    def __init__(self, half_life_s: float) -> None:
+        """Start with no answer; what is in it counts half after each half-life."""
+        self._half_life_s = half_life_s
+        self.answers: float = 0
+        self.means: float = 0
+        self.seconds = _FIRST_S
+        self._squares: float = 0
+
+    @property
+    def evidence(self) -> float:
+        """Answers of equal weight that would be as sure."""
+        if not self._squares:
+            return 0
+        return min(self.answers * self.answers / self._squares, 2 * self.answers)
+
+    @property
+    def told(self) -> bool:
+        """Whether there is enough to reckon from."""
+        return self.answers >= _FEWEST_ANSWERS and self.means > 0
+
+    def add(self, answers: int, means: float) -> None:
+        """Add answers with the sum of their times in means."""
+        self.answers += answers
+        self.means += means
+        self._squares += answers
+
+    def fade(self, elapsed_s: float) -> None:
+        """Let some seconds pass."""
+        factor = 0.5 ** (elapsed_s / self._half_life_s)
+        self.answers *= factor
+        self.means *= factor
+        self.seconds = self.seconds * factor + elapsed_s
+        self._squares *= factor * factor
+
+    def replace_by(self, other: 'AnswerWindow') -> None:
+        """Forget all but what is in another window."""
+        self.answers = other.answers
+        self.means = other.means
+        self.seconds = other.seconds
+        self._squares = other._squares  # noqa: SLF001 (of the same class)
+
+    def busy(self, mean_s: float, slots: int) -> float:
+        """Return how many slots were busy, by what was in progress."""
+        return busy_slots(self.means * mean_s / self.seconds, slots)
+
+    def work(self, mean_s: float, slots: int) -> float:
+        """Return the means of work in all its answers, without the time in a queue."""
+        in_progress = self.means * mean_s / self.seconds
+        if in_progress <= 0:
+            return self.means
+        return self.means * busy_slots(in_progress, slots) / in_progress
+
+
+def busy_slots(in_progress: float, slots: int) -> float:
+    """Return how many slots are busy where so many requests are in progress in the mean.
+
+    What goes wrong without it: equal upstreams get uneven work, requests queue at one of them, and
+    it is taken for a slow one.  By Little's law the requests in progress are the answers a second
+    times the answer time; with random arrivals `slots` at a load of r hold about
+    slots * r + r ** sqrt(2 * (slots + 1)) / (1 - r) of them (Sakasegawa, 1977).
+    """
+    power = sqrt(2 * (slots + 1))
+    least: float = 0
+    most: float = 1
+    for _ in range(_STEPS):
+        load = (least + most) / 2
+        if slots * load + load**power / (1 - load) < in_progress:
+            least = load
+        else:
+            most = load
+    return slots * (least + most) / 2
--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -73,8 +73,9 @@
     what their callers ask for.
     """
 
-    def __init__(self) -> None:
-        """Start with all flows at home."""
+    def __init__(self, host: str = '') -> None:
+        """Start with all flows of `host` at home."""
+        self.host = host
         self.reckon_at: float = 0
         self.reckons = False
         self.tolerated: float = 1
--- /dev/null
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -0,0 +1,339 @@
+"""Learn what upstreams do a second from the answers that all hosts of a data centre saw.
+
+Hosts tell each other counts, which every host adds up, so that all reckon nearly the same.  An
+upstream's work a request, without the time in its queue, is compared with that of its service in
+the data centre.  Two windows are kept: a long one, which tells steady differences beyond chance,
+and a short one, which replaces the long one when an upstream has changed.
+
+Load pattern: upstreams of one service work at different speeds, or one turns slow for seconds.
+"""
+
+from collections.abc import Iterable
+from math import sqrt
+
+from bronzekeel.core.log_numbers import LogNumber
+from bronzekeel.core.routing.answer_counts import (
+    CLOCK_RANGE,
+    MOST_MEANS,
+    Answer,
+    AnswerCounts,
+    ToldCounts,
+    start_of,
+)
+from bronzekeel.core.routing.answer_windows import AnswerWindow
+from bronzekeel.core.routing.directory import Directory
+from bronzekeel.core.routing.effects import Effect, WriteLine
+from bronzekeel.core.routing.model import Upstream
+from bronzekeel.core.routing.pools import Pool
+
+
+#: Interval in seconds at which speeds are reckoned.  Source: a quarter of the interval of
+#: heartbeats in a data centre of 25 hosts.
+RECKON_S = 0.25
+
+#: Half-lives in seconds of the two windows.  Source: a slowdown must be followed within 2 s, one of
+#: which a heartbeat may take; steady differences take a hundred answers to tell a third.
+SHORT_S = 0.75
+LONG_S = 6.0
+
+#: Standard errors beyond which a difference is believed, and below which it is no longer.  Source:
+#: sixty upstreams are looked at four times a second, for days; the sums of few answers are skewed.
+BELIEVED_ERRORS = 4.5
+DOUBTED_ERRORS = 2.5
+
+#: Bounds of how many times more windows vary than single answers tell, and what is taken for it
+#: before that was seen.  What goes wrong without it: a few long requests take all slots of an
+#: upstream, those behind them wait together, and by their number it is sure that it is slow.
+_LEAST_NOISE = 1.0
+_FIRST_NOISE = 1.5
+
+#: Squared standard errors that one upstream counts for at most: one that has changed is no noise.
+_MOST_NOISE = 9.0
+
+#: Weight of the newest look at one upstream in the noise.  Source: windows of fifteen upstreams
+#: are new each second, and a few hundred of them make a variance.
+_NOISE_WEIGHT = 1 / 512
+
+#: Share by which the work must differ at least.  Source: a fifth of the capacity is no more than
+#: what chance makes of the load within a second.
+LEAST_DIFFERENCE = 0.2
+
+#: Bounds of a learned speed.  Source: one that is slower by more than ten is no use, and must
+#: still get requests to show that it is not.
+LEAST_SPEED = 0.1
+MOST_SPEED = 3.0
+
+#: Share of its capacity that an upstream has left at least.  Source: one whose queue is full still
+#: has to be asked now and then.
+LEAST_SPARE = 0.05
+
+#: Least variance of an answer's time in means.  Source: half of the mean, as of work that hardly
+#: differs; the way to an upstream adds its own.
+_LEAST_VARIANCE = 0.25
+
+#: Weight of the newest answer in the mean seconds and variance of a service, and how many answers
+#: make them.
+_NEWEST_WEIGHT = 1 / 256
+
+#: Milliseconds by which a message may be late.  A host whose clock is further back has started
+#: again.
+_LATE_MS = 5000
+_HALF_RANGE = CLOCK_RANGE // 2
+
+
+class ServiceWork:
+    """Hold the mean seconds of an answer of one pool, and the variance of its time in means.
+
+    `noise` is how many times more the means of windows vary than those of single answers would.
+    """
+
+    __slots__ = ('_answers', 'mean_s', 'noise', 'variance')
+
+    def __init__(self) -> None:
+        """Start with exponential work of no length."""
+        self._answers = 0
+        self.mean_s: float = 0
+        self.variance: float = 1
+        self.noise = _FIRST_NOISE
+
+    def error(self, *windows: AnswerWindow) -> float:
+        """Return the standard error of the difference of some windows."""
+        inverse = sum(1 / window.evidence for window in windows)
+        return sqrt(self.variance * self.noise * inverse)
+
+    def note_difference(self, errors: float) -> None:
+        """Take by how many standard errors two windows of an upstream differ."""
+        seen = min(errors * errors, _MOST_NOISE) * self.noise
+        self.noise += (seen - self.noise) * _NOISE_WEIGHT
+        self.noise = max(self.noise, _LEAST_NOISE)
+
+    def take(self, answer: Answer) -> None:
+        """Take one answer of this host's callers."""
+        self._answers += 1
+        weight = max(1 / self._answers, _NEWEST_WEIGHT)
+        self.mean_s += (answer.work_s - self.mean_s) * weight
+        deviation = answer.means - 1
+        self.variance += (deviation * deviation - self.variance) * _NEWEST_WEIGHT
+        self.variance = max(self.variance, _LEAST_VARIANCE)
+
+
+class LearnedWork:
+    """Hold what was learned of one upstream; `believed` tells that it differs beyond chance."""
+
+    __slots__ = ('believed', 'long', 'short', 'upstream')
+
+    def __init__(self, upstream: Upstream) -> None:
+        """Start with nothing."""
+        self.upstream = upstream
+        self.short = AnswerWindow(SHORT_S)
+        self.long = AnswerWindow(LONG_S)
+        self.believed = False
+
+    def add(self, answers: int, means: float) -> None:
+        """Add answers of any host."""
+        self.short.add(answers, means)
+        self.long.add(answers, means)
+
+    def fade(self, elapsed_s: float) -> None:
+        """Let some seconds pass."""
+        self.short.fade(elapsed_s)
+        self.long.fade(elapsed_s)
+
+
+class Capacities:
+    """Hold what was learned of the upstreams of the own data centre.
+
+    `counts` has the answers that this host saw itself.
+    """
+
+    __slots__ = (
+        '_learned_by_upstream',
+        '_reckoned_at',
+        '_told_ms_by_host',
+        '_work_by_pool',
+        'counts',
+    )
+
+    def __init__(self) -> None:
+        """Start with nothing learned."""
+        self.counts = AnswerCounts()
+        self._learned_by_upstream: dict[Upstream, LearnedWork] = {}
+        self._told_ms_by_host: dict[str, int] = {}
+        self._work_by_pool: dict[Pool, ServiceWork] = {}
+        self._reckoned_at: float | None = None
+
+    @property
+    def learned_speeds(self) -> list[float]:
+        """Speeds of the upstreams whose work differs."""
+        return [
+            learned.upstream.speed
+            for learned in self._learned_by_upstream.values()
+            if learned.believed
+        ]
+
+    def hear(self, host: str, told: ToldCounts, directory: Directory) -> None:
+        """Take what a neighbour counted, once and never out of order."""
+        if not self._is_newer(host, told.told_ms):
+            return
+        self._told_ms_by_host[host] = told.told_ms
+        for count in told.counts:
+            upstream = directory.by_number.get(count.number)
+            if upstream is None or not upstream.pool.controlled:
+                continue
+            if count.start != start_of(upstream.entry):
+                continue
+            means = min(count.means, MOST_MEANS * count.answers)
+            self._learned_of(upstream).add(count.answers, means)
+
+    def forget_hosts(self, known: Iterable[str]) -> None:
+        """Forget the order of the messages of all hosts but those that are known."""
+        names = set(known)
+        for host in list(self._told_ms_by_host):
+            if host not in names:
+                self._told_ms_by_host.pop(host)
+
+    def reckon(self, directory: Directory, data_centre: str, now: float) -> list[Effect]:
+        """Set speeds and spare capacities by what is known; return lines on what changed."""
+        last_at = now if self._reckoned_at is None else self._reckoned_at
+        if self._reckoned_at is not None and now < last_at + RECKON_S:
+            return []
+        self._reckoned_at = now
+        self._take_own()
+        effects: list[Effect] = []
+        for pool in directory.pools_of(data_centre):
+            upstreams = directory.of_service(pool.service) if pool.controlled else []
+            near = [upstream for upstream in upstreams if upstream.pool is pool]
+            effects.extend(self._reckon_pool(pool, near, now - last_at))
+        self._forget_removed(directory)
+        return effects
+
+    def _is_newer(self, host: str, told_ms: int) -> bool:
+        """Whether a message is newer than the last of its host, or of a later start."""
+        last_ms = self._told_ms_by_host.get(host)
+        if last_ms is None:
+            return True
+        ahead_ms = (told_ms - last_ms) % CLOCK_RANGE
+        if ahead_ms < _HALF_RANGE:
+            return ahead_ms > 0
+        return CLOCK_RANGE - ahead_ms > _LATE_MS
+
+    def _learned_of(self, upstream: Upstream) -> LearnedWork:
+        learned = self._learned_by_upstream.get(upstream)
+        if learned is None:
+            learned = LearnedWork(upstream)
+            self._learned_by_upstream[upstream] = learned
+        return learned
+
+    def _take_own(self) -> None:
+        for answer in self.counts.take():
+            self._learned_of(answer.upstream).add(1, answer.means)
+            self._work_by_pool.setdefault(answer.upstream.pool, ServiceWork()).take(answer)
+
+    def _forget_removed(self, directory: Directory) -> None:
+        """Forget upstreams that are gone, started again, or are no longer controlled."""
+        for upstream in list(self._learned_by_upstream):
+            known = directory.by_number.get(upstream.entry.short_number)
+            if known is upstream and upstream.pool.controlled:
+                continue
+            self._learned_by_upstream.pop(upstream)
+            upstream.speed = 1
+            upstream.spare = None
+
+    def _reckon_pool(self, pool: Pool, near: list[Upstream], elapsed_s: float) -> list[Effect]:
+        learned_here = [self._learned_of(upstream) for upstream in near]
+        for learned in learned_here:
+            learned.fade(elapsed_s)
+        work = self._work_by_pool.get(pool)
+        if work is None:
+            return []
+        _follow_changes(learned_here, work)
+        effects: list[Effect] = []
+        mean = _mean_work([learned.long for learned in learned_here], learned_here, work)
+        for learned in learned_here:
+            effects.extend(_settle(learned, work, mean))
+            _set_spare(learned, work)
+        return effects
+
+
+def _mean_work(
+    windows: list[AnswerWindow],
+    learned_here: list[LearnedWork],
+    work: ServiceWork,
+) -> float:
+    """Return the mean work of an answer at all upstreams, in means; zero if there are none."""
+    total: float = 0
+    answers: float = 0
+    for window, learned in zip(windows, learned_here, strict=True):
+        if window.told:
+            total += window.work(work.mean_s, learned.upstream.entry.slots)
+            answers += window.answers
+    return total / answers if answers else 0
+
+
+def _difference(
+    window: AnswerWindow,
+    learned: LearnedWork,
+    work: ServiceWork,
+    mean: float,
+) -> float:
+    """Return by how much an upstream's work differs from the mean.
+
+    It is the share by which it is more, or by which the mean is more, less than zero then: sums of
+    answer times that are too long by chance are skewed less than their logarithms.
+    """
+    own = window.work(work.mean_s, learned.upstream.entry.slots) / window.answers
+    return own / mean - 1 if own > mean else 1 - mean / own
+
+
+def _follow_changes(learned_here: list[LearnedWork], work: ServiceWork) -> None:
+    """Let the short window replace the long one of upstreams that have changed."""
+    short_mean = _mean_work([learned.short for learned in learned_here], learned_here, work)
+    long_mean = _mean_work([learned.long for learned in learned_here], learned_here, work)
+    if not short_mean or not long_mean:
+        return
+    for learned in learned_here:
+        if not learned.short.told or not learned.long.told:
+            continue
+        newest = _difference(learned.short, learned, work, short_mean)
+        usual = _difference(learned.long, learned, work, long_mean)
+        error = work.error(learned.short, learned.long)
+        work.note_difference((newest - usual) / error)
+        if abs(newest - usual) > max(BELIEVED_ERRORS * error, LEAST_DIFFERENCE):
+            learned.long.replace_by(learned.short)
+
+
+def _settle(learned: LearnedWork, work: ServiceWork, mean: float) -> list[Effect]:
+    """Set an upstream's speed; return a line if it began or ceased to differ."""
+    difference: float = 0
+    error: float = 1
+    if learned.long.told and mean:
+        difference = _difference(learned.long, learned, work, mean)
+        error = work.error(learned.long)
+    needed = DOUBTED_ERRORS if learned.believed else BELIEVED_ERRORS
+    former = learned.believed
+    learned.believed = abs(difference) > max(needed * error, LEAST_DIFFERENCE)
+    speed: float = 1
+    if learned.believed:
+        sure = 1 + max(abs(difference) - error, 0)
+        speed = 1 / sure if difference > 0 else sure
+    learned.upstream.speed = min(max(speed, LEAST_SPEED), MOST_SPEED)
+    if former == learned.believed:
+        return []
+    number = LogNumber.SPEED_LEARNED if learned.believed else LogNumber.SPEED_FORGOTTEN
+    return [
+        WriteLine(
+            number,
+            upstream=learned.upstream.entry.name,
+            service=learned.upstream.entry.service,
+            speed=round(learned.upstream.speed, 2),
+            answers=round(learned.long.answers),
+        ),
+    ]
+
+
+def _set_spare(learned: LearnedWork, work: ServiceWork) -> None:
+    """Note the capacity that the flows which are open leave."""
+    upstream = learned.upstream
+    slots = upstream.entry.slots
+    busy = learned.long.busy(work.mean_s, slots) if learned.long.told else 0
+    upstream.spare = upstream.speed * max(slots - busy, LEAST_SPARE * slots)
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 
+from bronzekeel.core.routing.answer_counts import AnswerCounts
 from bronzekeel.core.routing.histograms import Histogram
 from bronzekeel.core.routing.model import FlowPacket, Upstream
 from bronzekeel.core.routing.pools import LEAST_PATIENCE_S
@@ -36,6 +37,9 @@
 
 _MOST_GROWTH = 3
 
+#: Where the address and port of the route begin in a flow's key.
+_ROUTE_PLACE = 6
+
 #: Flows that one call of ``expire`` looks at: some, and a share of all.
 #: Source: called each tenth of a second it has seen all after six seconds,
 #: well within the time that a silent flow is remembered.
@@ -101,8 +105,9 @@
     packet at `heard_at`, and one was found not to at `silent_at`.
     """
 
-    def __init__(self) -> None:
-        """Start with none."""
+    def __init__(self, counts: AnswerCounts | None = None) -> None:
+        """Start with none; `counts` takes the answers where demand is controlled."""
+        self._counts = counts or AnswerCounts()
         self._by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._opening_by_key: OrderedDict[bytes, Flow] = OrderedDict()
@@ -230,6 +235,8 @@
         """Forget silent flows, and requests whose end was not seen."""
         self.expire_openings(now)
         for flow in _older(self._busy_by_key, now - BUSY_S):
+            if flow.upstream is not None:
+                self._count(flow, flow.upstream, now)
             self._mark_idle(flow)
         for _ in range(min(len(self._by_key), _SWEPT_FLOWS + len(self._by_key) // _SWEEPS)):
             key = next(iter(self._by_key))
@@ -252,8 +259,14 @@
         self.answers.observe(now - flow.asked_at)
         if flow.upstream is not None:
             flow.upstream.pool.answered += 1
+            self._count(flow, flow.upstream, now)
         self._mark_idle(flow)
 
+    def _count(self, flow: Flow, upstream: Upstream, now: float) -> None:
+        """Count an answer, or that none came for long; an opening packet asks for no work."""
+        if upstream.pool.controlled and flow.sequence >= 0:
+            self._counts.note(upstream, flow.key[_ROUTE_PLACE:], flow.asked_at, now)
+
     def _mark_busy(self, flow: Flow, now: float) -> None:
         flow.asked_at = now
         self._busy_by_key[flow.key] = flow
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
+from bronzekeel.core.routing.answer_counts import ToldCounts
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
@@ -62,8 +63,12 @@
     )
 
 
-def near_heartbeat(state: RoutingState, now: float) -> Heartbeat:
-    """Return all that a neighbour may use."""
+def near_heartbeat(
+    state: RoutingState,
+    now: float,
+    counts: ToldCounts | None = None,
+) -> Heartbeat:
+    """Return all that a neighbour may use; `counts` only in one that all neighbours get."""
     busy_by_number = {
         number: upstream.busy_flows
         for number, upstream in state.directory.by_number.items()
@@ -79,6 +84,7 @@
         state.balance.shares if state.balance.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
+        counts=counts,
         evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
--- /dev/null
+++ b/src/bronzekeel/core/routing/learning.py
@@ -0,0 +1,22 @@
+"""Learn capacities where demand is controlled, from own answers and neighbours' word."""
+
+from bronzekeel.core.routing.effects import Effect
+from bronzekeel.core.routing.messages import Heartbeat
+from bronzekeel.core.routing.state import RoutingState
+
+
+def learn_capacities(state: RoutingState, now: float) -> list[Effect]:
+    """Say which pools are controlled, and reckon the capacities of their upstreams."""
+    home = state.peers.me.data_centre
+    for pool in state.directory.pools_of(home):
+        pool.controlled = state.controls_demand(pool.service)
+    state.demand.capacities.forget_hosts(state.peers.by_name)
+    return state.demand.capacities.reckon(state.directory, home, now)
+
+
+def take_counts(state: RoutingState, heartbeat: Heartbeat) -> None:
+    """Take the answers that a neighbour saw."""
+    sender = heartbeat.sender
+    if heartbeat.counts is None or sender.data_centre != state.peers.me.data_centre:
+        return
+    state.demand.capacities.hear(sender.name, heartbeat.counts, state.directory)
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
+from bronzekeel.core.routing.answer_counts import ToldCounts
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 
 
@@ -78,12 +79,14 @@
     are in progress there, for each slot.  `allowances` say what others have room for, None if it
     has heard too little from them.  `unanswered_by_number` says how many opening packets in a row
     upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
-    evacuations: all of it, so that nobody has to ask.  `others` are peers that it knows.
+    evacuations: all of it, so that nobody has to ask.  `counts` are the answers that its sender saw
+    since it last told its neighbours, None if there is none to tell.  `others` are peers that it knows.
     """
 
     __slots__ = (
         'allowances',
         'busy_by_number',
+        'counts',
         'direct',
         'evacuated',
         'load_by_service',
@@ -112,6 +115,7 @@
         allowances: tuple[Allowance, ...] | None = None,
         evacuated: Evacuated = NOTHING_EVACUATED,
         unanswered_by_number: Mapping[int, int] = _NOBODY,
+        counts: ToldCounts | None = None,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -128,6 +132,7 @@
         self.allowances = allowances
         self.evacuated = evacuated
         self.unanswered_by_number = unanswered_by_number
+        self.counts = counts
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/model.py
+++ b/src/bronzekeel/core/routing/model.py
@@ -223,7 +223,8 @@
     answered at `answered_at`.  `asked` counts the requests that this
     balancer saw of late, new flows too.  `pool` counts what is in progress at all upstreams of
     its service in its data centre.  `speed` is how fast it works beside the mean of its service,
-    one unless that was learned.
+    one unless that was learned; `spare` the capacity that its open flows leave, None if that is
+    not known.
     """
 
     __slots__ = (
@@ -241,6 +242,7 @@
         'removed_revision',
         'shared_load',
         'silent_until',
+        'spare',
         'speed',
         'unanswered',
         'warm_at',
@@ -265,6 +267,7 @@
         self.answered_at: float = 0
         self.asked: float = 0
         self.speed: float = 1
+        self.spare: float | None = None
 
     @property
     def capacity(self) -> float:
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -6,12 +6,7 @@
 
 from bronzekeel.core.routing.balance import Balance
 from bronzekeel.core.routing.model import Upstream
-
-
-#: Work of a cold upstream as a multiple of a warm one's.  Source: upstreams
-#: that have just started took 1.6 times as long; rounded up, since a cold one
-#: also serves its first flows worst.
-COLD_FACTOR = 2.0
+from bronzekeel.core.routing.placement_by_capacity import COLD_FACTOR, SharesByCapacity
 
 
 class Placement(ABC):
@@ -53,6 +48,7 @@
         super().__init__(data_centre, balance)
         self._data_centre = data_centre
         self._balance = balance
+        self._shares = SharesByCapacity(balance.host)
         balance.tolerated = self.tolerated
         balance.bearable = self.bearable
 
@@ -82,7 +78,15 @@
             if best is None or rank < best_rank:
                 best = upstream
                 best_rank = rank
-        return best
+        if best is None or not best.pool.controlled:
+            return best
+        reluctance = _reluctance(best, now, near)
+        alike = [
+            upstream
+            for upstream in candidates
+            if upstream.takes_flows(now) and _reluctance(upstream, now, near) == reluctance
+        ]
+        return self._shares.choose(alike, now)
 
 
 class EqualWork(LeastBusy):
@@ -110,7 +114,12 @@
 
 
 def load_of(upstream: Upstream, now: float) -> float:
-    """Return the load of an upstream with one more flow, per slot of capacity."""
+    """Return the load of an upstream with one more flow, per slot of capacity.
+
+    Where capacity is learned, idle upstreams look alike however fast they are.
+    """
+    if upstream.pool.controlled:
+        return upstream.busy_flows / upstream.capacity + upstream.shared_load
     load = float(1 + upstream.busy_flows)
     if now < upstream.warm_at:
         load *= COLD_FACTOR
--- a/src/bronzekeel/core/routing/pools.py
+++ b/src/bronzekeel/core/routing/pools.py
@@ -33,7 +33,8 @@
 class Pool:
     """Hold the requests in progress, and how many there may be.
 
-    New flows keep away while it is `evacuated`.
+    New flows keep away while it is `evacuated`.  The demand on it is `controlled` where what its
+    upstreams can do is learned, and new flows go by it.
     `busy` counts the requests of this balancer's callers that are in progress there, by own
     sight.  From `limit` on further ones wait, and up to `allowance` they may come from flows that
     found no room in the own data centre; `waiting` counts those that do, and the queue
@@ -49,6 +50,7 @@
         'allowance',
         'answered',
         'busy',
+        'controlled',
         'data_centre',
         'evacuated',
         'limit',
@@ -64,6 +66,7 @@
         self.service = service
         self.data_centre = data_centre
         self.evacuated = evacuated
+        self.controlled = False
         self.busy = 0
         self.limit = NO_LIMIT
         self.allowance: float = 0
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -37,6 +37,7 @@
 )
 from bronzekeel.core.routing.follower import GATHER_S, LISTEN_S, Collection, Follower
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
+from bronzekeel.core.routing.learning import learn_capacities
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.revisions import (
@@ -335,6 +336,7 @@
     for follower in state.follower_by_collection.values():
         follower.doubt(now)
     state.peers.doubt_all()
+    state.demand.capacities.counts.valid_from = now
     effects: list[Effect] = [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
     if event.paused_s >= STALE_PAUSE_S:
         effects.append(DropWaiting())
@@ -357,6 +359,7 @@
     effects.extend(end_evacuations(state, now))
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
+    effects.extend(learn_capacities(state, now))
     reckon_balance(state, now)
     reckon_room(state, now)
     state.admission.reckon(now)
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -15,6 +15,7 @@
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
+from bronzekeel.core.routing.learning import take_counts
 from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.model import UpstreamEntry
@@ -56,7 +57,8 @@
         state.peers.beat_soon()
     near = state.peers.due_neighbours(now)
     if near:
-        effects.append(SendHeartbeat(near_heartbeat(state, now), near))
+        counts = state.demand.capacities.counts.tell(now)
+        effects.append(SendHeartbeat(near_heartbeat(state, now, counts), near))
     far = state.peers.due_seeds(now, ready=state.ready)
     far.extend(
         state.relays.due(
@@ -91,6 +93,7 @@
     joined = state.peers.note_heartbeat(heartbeat, now)
     effects.extend(_take_evacuated(state, heartbeat, now))
     take_silent(state, heartbeat.unanswered_by_number, now)
+    take_counts(state, heartbeat)
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_order and not heartbeat.text_order):
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -92,9 +92,9 @@
             cold_starts or ColdStarts(peers),
             region_by_centre,
         )
-        self.flows = FlowTable()
+        self.flows = FlowTable(self.demand.capacities.counts)
         self.shared_loads = SharedLoads()
-        self.balance = Balance()
+        self.balance = Balance(peers.me.name)
         self.room = RoomElsewhere()
         self.waiting = WaitingRequests(order_of())
         self.overloads = OverloadWatch()
--- a/src/bronzekeel/entry/decision_log.py
+++ b/src/bronzekeel/entry/decision_log.py
@@ -46,6 +46,9 @@
             fields['busy'] = upstream.busy_flows
             fields['open'] = upstream.open_flows
             fields['unanswered'] = upstream.unanswered
+            if upstream.spare is not None:
+                fields['speed'] = round(upstream.speed, 2)
+                fields['spare'] = round(upstream.spare, 2)
         pool = decision.pool
         if pool is not None:
             fields['service'] = pool.service
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -98,6 +98,12 @@
     for name, kind, helping, figure in _POOL_METRICS:
         samples = {pool.service: figure(pool) for pool in pools}
         page.add(f'bronzekeel_{name}', kind, helping, samples)
+    page.add(
+        'bronzekeel_learned_speed',
+        'gauge',
+        'Speeds of upstreams that differ from the mean of their service.',
+        _speeds(state.demand.capacities.learned_speeds),
+    )
     page.add_histogram(
         'bronzekeel_answer_seconds',
         'From the last bytes of a request to the acknowledgement of its answer.',
@@ -120,3 +126,11 @@
         'flows_remembered': len(state.flows),
         'peers_living': len(state.peers.living(now)),
     }
+
+
+def _speeds(learned: list[float]) -> dict[str, float]:
+    return {
+        'least': round(min(learned, default=1), 2),
+        'most': round(max(learned, default=1), 2),
+        'upstreams': len(learned),
+    }
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -30,6 +30,7 @@
     View,
 )
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.entry.count_fields import decode_counts, encode_counts
 from bronzekeel.entry.revision_fields import (
     decode_revision,
     decode_text_order,
@@ -109,6 +110,7 @@
                 encode_revision(heartbeat.evacuated.as_of),
                 sorted(heartbeat.evacuated.centres),
             ),
+            'answers': None if heartbeat.counts is None else encode_counts(heartbeat.counts),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
         },
@@ -134,6 +136,7 @@
             unanswered_by_number={
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
+            counts=decode_counts(fields.get('answers')),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
