--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Iterable
-from math import sqrt
+from math import log, sqrt
 
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.answer_counts import (
@@ -38,8 +38,14 @@
 
 #: Standard errors beyond which a difference is believed, and below which it is no longer.  Source:
 #: sixty upstreams are looked at four times a second, for days; the sums of few answers are skewed.
-BELIEVED_ERRORS = 4.5
-DOUBTED_ERRORS = 2.5
+BELIEVED_ERRORS = 6.0
+DOUBTED_ERRORS = 3.0
+
+#: Standard errors between the two windows beyond which an upstream has changed, and beyond which
+#: one that differed does so less.  Source: most upstreams are alike, so less evidence is needed
+#: for that.
+CHANGED_ERRORS = 4.5
+RETURNED_ERRORS = 2.5
 
 #: Bounds of how many times more windows vary than single answers tell, and what is taken for it
 #: before that was seen.  What goes wrong without it: a few long requests take all slots of an
@@ -270,19 +276,18 @@
     return total / answers if answers else 0
 
 
-def _difference(
-    window: AnswerWindow,
-    learned: LearnedWork,
-    work: ServiceWork,
-    mean: float,
-) -> float:
-    """Return by how much an upstream's work differs from the mean.
+def _work_of(window: AnswerWindow, learned: LearnedWork, work: ServiceWork) -> float:
+    """Return the mean work of an answer of one upstream, in means."""
+    return window.work(work.mean_s, learned.upstream.entry.slots) / window.answers
+
+
+def _difference(newer: float, usual: float) -> float:
+    """Return by how much some work differs from the usual.
 
-    It is the share by which it is more, or by which the mean is more, less than zero then: sums of
-    answer times that are too long by chance are skewed less than their logarithms.
+    It is the share by which it is more; where it is less, the logarithm of the ratio, since chance
+    makes a few answers short more often than long.
     """
-    own = window.work(work.mean_s, learned.upstream.entry.slots) / window.answers
-    return own / mean - 1 if own > mean else 1 - mean / own
+    return newer / usual - 1 if newer > usual else log(newer / usual)
 
 
 def _follow_changes(learned_here: list[LearnedWork], work: ServiceWork) -> None:
@@ -294,11 +299,12 @@
     for learned in learned_here:
         if not learned.short.told or not learned.long.told:
             continue
-        newest = _difference(learned.short, learned, work, short_mean)
-        usual = _difference(learned.long, learned, work, long_mean)
-        error = work.error(learned.short, learned.long)
-        work.note_difference((newest - usual) / error)
-        if abs(newest - usual) > max(BELIEVED_ERRORS * error, LEAST_DIFFERENCE):
+        newest = _work_of(learned.short, learned, work) / short_mean
+        usual = _work_of(learned.long, learned, work) / long_mean
+        errors = _difference(newest, usual) / work.error(learned.short, learned.long)
+        work.note_difference(errors)
+        returns = learned.believed and abs(newest - 1) < abs(usual - 1)
+        if abs(errors) > (RETURNED_ERRORS if returns else CHANGED_ERRORS):
             learned.long.replace_by(learned.short)
 
 
@@ -307,7 +313,7 @@
     difference: float = 0
     error: float = 1
     if learned.long.told and mean:
-        difference = _difference(learned.long, learned, work, mean)
+        difference = _difference(_work_of(learned.long, learned, work), mean)
         error = work.error(learned.long)
     needed = DOUBTED_ERRORS if learned.believed else BELIEVED_ERRORS
     former = learned.believed
