--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -41,10 +41,10 @@
 BELIEVED_ERRORS = 6.0
 DOUBTED_ERRORS = 3.0
 
-#: Standard errors between the two windows beyond which an upstream has changed, and beyond which
-#: one that differed does so less.  Source: most upstreams are alike, so less evidence is needed
-#: for that.
-CHANGED_ERRORS = 4.5
+#: Standard errors by which the short window alone must differ for an upstream to have changed, and
+#: by which it must be less than the long one for an end of that.  Source: most upstreams are alike,
+#: so less evidence is needed for that.
+CHANGED_ERRORS = 6.0
 RETURNED_ERRORS = 2.5
 
 #: Bounds of how many times more windows vary than single answers tell, and what is taken for it
@@ -303,9 +303,14 @@
         usual = _work_of(learned.long, learned, work) / long_mean
         errors = _difference(newest, usual) / work.error(learned.short, learned.long)
         work.note_difference(errors)
-        returns = learned.believed and abs(newest - 1) < abs(usual - 1)
-        if abs(errors) > (RETURNED_ERRORS if returns else CHANGED_ERRORS):
+        if learned.believed and abs(newest - 1) < abs(usual - 1):
+            if abs(errors) > RETURNED_ERRORS:
+                learned.long.replace_by(learned.short)
+            continue
+        beyond = _difference(newest, 1) / work.error(learned.short)
+        if not learned.believed and abs(beyond) > CHANGED_ERRORS:
             learned.long.replace_by(learned.short)
+            learned.believed = True
 
 
 def _settle(learned: LearnedWork, work: ServiceWork, mean: float) -> list[Effect]:
@@ -316,7 +321,7 @@
         difference = _difference(_work_of(learned.long, learned, work), mean)
         error = work.error(learned.long)
     needed = DOUBTED_ERRORS if learned.believed else BELIEVED_ERRORS
-    former = learned.believed
+    former = learned.upstream.speed != 1
     learned.believed = abs(difference) > max(needed * error, LEAST_DIFFERENCE)
     speed: float = 1
     if learned.believed:
--- a/src/bronzekeel/core/routing/placement_by_capacity.py
+++ b/src/bronzekeel/core/routing/placement_by_capacity.py
@@ -22,6 +22,9 @@
 #: busy or silent for long gets all flows when it is back.
 _MOST_TURNS = 1.0
 
+#: Turns that are kept before those of upstreams that are gone are forgotten.
+_MANY_TURNS = 64
+
 _HASHES = 1 << 32
 
 
@@ -37,6 +40,8 @@
 
     def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream:
         """Return the upstream of some that look alike whose turn it is."""
+        if len(self._turn_by_upstream) > _MANY_TURNS + 2 * len(candidates):
+            self._forget(candidates)
         weights = [spare_of(upstream, now) for upstream in candidates]
         total = sum(weights)
         best = candidates[0]
@@ -50,7 +55,7 @@
         self._turn_by_upstream[best] = max(best_turn - 1, -_MOST_TURNS)
         return best
 
-    def forget(self, known: Sequence[Upstream]) -> None:
+    def _forget(self, known: Sequence[Upstream]) -> None:
         """Forget the turns of all upstreams but some."""
         self._turn_by_upstream = {
             upstream: self._turn_by_upstream[upstream]
