--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -44,7 +44,7 @@
 #: Standard errors by which the short window alone must differ for an upstream to have changed, and
 #: by which it must be less than the long one for an end of that.  Source: most upstreams are alike,
 #: so less evidence is needed for that.
-CHANGED_ERRORS = 5.0
+CHANGED_ERRORS = 6.0
 RETURNED_ERRORS = 2.5
 
 #: Bounds of how many times more windows vary than single answers tell, and what is taken for it
