--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -34,12 +34,12 @@
 #: Half-lives in seconds of the two windows.  Source: a slowdown must be followed within 2 s, one of
 #: which a heartbeat may take; steady differences take a hundred answers to tell a third.
 SHORT_S = 0.75
-LONG_S = 6.0
+LONG_S = 8.0
 
 #: Standard errors beyond which a difference is believed, and below which it is no longer.  Source:
 #: sixty upstreams are looked at four times a second, for days; the sums of few answers are skewed.
-BELIEVED_ERRORS = 6.0
-DOUBTED_ERRORS = 3.0
+BELIEVED_ERRORS = 5.5
+DOUBTED_ERRORS = 2.5
 
 #: Standard errors by which the short window alone must differ for an upstream to have changed, and
 #: by which it must be less than the long one for an end of that.  Source: most upstreams are alike,
@@ -47,11 +47,17 @@
 CHANGED_ERRORS = 6.0
 RETURNED_ERRORS = 2.5
 
+#: The same for one that took more than `_SLOWED` times the mean, when the short window is as near
+#: to the mean as most are.  Source: machines of one service seldom differ by more for good.
+LIKELY_ERRORS = 1.5
+USUAL_ERRORS = 0.7
+_SLOWED = 2.0
+
 #: Bounds of how many times more windows vary than single answers tell, and what is taken for it
 #: before that was seen.  What goes wrong without it: a few long requests take all slots of an
 #: upstream, those behind them wait together, and by their number it is sure that it is slow.
 _LEAST_NOISE = 1.0
-_FIRST_NOISE = 1.5
+_FIRST_NOISE = 2.5
 
 #: Squared standard errors that one upstream counts for at most: one that has changed is no noise.
 _MOST_NOISE = 9.0
@@ -312,10 +318,11 @@
     """
     errors = _difference(newest, usual) / work.error(learned.short, learned.long)
     work.note_difference(errors)
+    beyond = _difference(newest, 1) / work.error(learned.short)
     if learned.believed:
         returns = abs(newest - 1) < abs(usual - 1)
-        return returns and abs(errors) > RETURNED_ERRORS
-    beyond = _difference(newest, 1) / work.error(learned.short)
+        likely = abs(beyond) < USUAL_ERRORS and usual > _SLOWED
+        return returns and abs(errors) > (LIKELY_ERRORS if likely else RETURNED_ERRORS)
     learned.believed = abs(beyond) > CHANGED_ERRORS
     return learned.believed
 
--- a/tests/test_learned_capacity.py
+++ b/tests/test_learned_capacity.py
@@ -1,6 +1,7 @@
 """Test what is learned of upstreams from answers, and where new flows go by it."""
 
 from collections import Counter
+from operator import itemgetter
 from random import Random
 from unittest import TestCase
 
@@ -17,6 +18,7 @@
 from bronzekeel.core.routing.directory import Directory
 from bronzekeel.core.routing.effects import Effect, SendHeartbeat, WriteLine
 from bronzekeel.core.routing.events import HeartbeatHeard, Ticked
+from bronzekeel.core.routing.flows import BUSY_S
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.model import Upstream
@@ -52,9 +54,11 @@
 _BEAT_S = 1.0
 _MEAN_S = 0.04
 
-#: Answers a second of one upstream, and the share of its two slots that may be busy.
-_RATE = 25
-_MOST_BUSY = 0.9
+#: Requests a second of one upstream: a quarter of what two slots can do, as on a usual day.
+_RATE = 12
+
+#: Seconds after which an upstream turns away a request that found no slot.
+_QUEUE_S = 0.6
 _LONG_SHARE = 0.05
 
 #: Seconds in which a slowdown must be followed, and its end: the stated target.
@@ -74,6 +78,8 @@
         self.slow_by_name: dict[str, float] = {}
         self.hears = True
         self.rate: float = _RATE
+        self.free_at_by_name: dict[str, list[float]] = {}
+        self.answers: list[tuple[float, float, Upstream, bytes]] = []
         self.lines: Counter[LogNumber] = Counter()
         for number in range(1, upstreams + 1):
             self.directory.remember(entry(number, slots=2), 0)
@@ -100,7 +106,8 @@
         while self.now < until:
             self.now += _TICK_S
             for upstream in self.upstreams:
-                self._answer(upstream)
+                self._ask(upstream)
+            self._answer()
             self._tell()
             for host in self.hosts:
                 self._note(host.reckon(self.directory, 'dc-a', self.now))
@@ -109,14 +116,27 @@
         """Return the speeds that the last host reckoned."""
         return [upstream.speed for upstream in self.upstreams]
 
-    def _answer(self, upstream: Upstream) -> None:
+    def _ask(self, upstream: Upstream) -> None:
+        """Let requests reach an upstream, which works on them in two slots as they came."""
         slow = self.slow_by_name.get(upstream.entry.name, 1)
-        rate = min(self.rate, _MOST_BUSY * upstream.entry.slots / (_MEAN_S * slow))
-        for _ in range(int(rate * _TICK_S + self.random.random())):
+        free_at = self.free_at_by_name.setdefault(upstream.entry.name, [0, 0])
+        for _ in range(int(self.rate * _TICK_S + self.random.random())):
             kind = self.kind_of(upstream)
-            asked_at = self.now - self.work_s(kind) * slow
+            asked_at = self.now + self.random.random() * _TICK_S
+            begun_at = max(asked_at, min(free_at))
+            ended_at = begun_at + self.work_s(kind) * slow
+            if begun_at < asked_at + _QUEUE_S:
+                free_at[free_at.index(min(free_at))] = ended_at
+            seen_at = min(ended_at, asked_at + BUSY_S)
+            self.answers.append((seen_at, asked_at, upstream, kind))
+
+    def _answer(self) -> None:
+        """Let the hosts see the answers that came, and requests that none came to for long."""
+        self.answers.sort(key=itemgetter(0))
+        while self.answers and self.answers[0][0] <= self.now:
+            seen_at, asked_at, upstream, kind = self.answers.pop(0)
             host = self.random.choice(self.hosts)
-            host.counts.note(upstream, kind, asked_at, self.now)
+            host.counts.note(upstream, kind, asked_at, seen_at)
 
     def _tell(self) -> None:
         """Let the hosts tell whose turn it is, each once a second."""
@@ -354,7 +374,11 @@
         hosts.directory.forget_old(0)
         hosts.directory.note_removed(former.entry.name, 50, hosts.now)
         hosts.directory.forget_old(hosts.now + 100)
-        hosts.directory.remember(entry(1, slots=2), 0)
+        restarted = entry(1, slots=2)
+        restarted.started_ms = 77
+        hosts.directory.remember(restarted, 0)
+        hosts.free_at_by_name.clear()
+        hosts.answers.clear()
         hosts.run(0.5)
         upstream = hosts.directory.by_number[entry(1).short_number]
         self.assertIsNot(former, upstream)
