--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 
 from bronzekeel.core.routing.caller_words import CallersWord
+from bronzekeel.core.routing.answer_counts import ToldCounts
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 
 
@@ -81,13 +82,15 @@
     has heard too little from them.  `unanswered_by_number` says how many opening packets in a row
     upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
     evacuations: all of it, so that nobody has to ask.  `callers_by_service` says what callers of
-    services that are short asked for and were given.  `others` are peers that it knows.
+    services that are short asked for and were given.  `counts` are the answers that its sender saw
+    since it last told neighbours, None if there is none.  `others` are peers that it knows.
     """
 
     __slots__ = (
         'allowances',
         'busy_by_number',
         'callers_by_service',
+        'counts',
         'direct',
         'evacuated',
         'load_by_service',
@@ -117,6 +120,7 @@
         evacuated: Evacuated = NOTHING_EVACUATED,
         unanswered_by_number: Mapping[int, int] = _NOBODY,
         callers_by_service: Mapping[str, CallersWord] = _NO_WORDS,
+        counts: ToldCounts | None = None,
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -134,6 +138,7 @@
         self.evacuated = evacuated
         self.unanswered_by_number = unanswered_by_number
         self.callers_by_service = callers_by_service
+        self.counts = counts
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -10,6 +10,9 @@
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.balancing import reckon_balance, reckon_room
 from bronzekeel.core.routing.effects import DropWaiting, Effect, End, WriteLine
+from bronzekeel.core.routing.evacuations import (
+    end_evacuations,
+)
 from bronzekeel.core.routing.events import (
     CallFailed,
     ChangesRead,
@@ -26,16 +29,14 @@
     ViewFailed,
     ViewFetched,
 )
-from bronzekeel.core.routing.evacuations import (
-    end_evacuations,
-)
+from bronzekeel.core.routing.learning import learn_capacities
 from bronzekeel.core.routing.sharing import (
+    announce_change,
     ask_elsewhere,
     beat,
-    on_heartbeat,
     note_refusal,
+    on_heartbeat,
     take_view,
-    announce_change,
 )
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.store_answers import (
@@ -49,7 +50,6 @@
     settle_doubts,
 )
 
-
 #: Interval in seconds at which the daemon feeds ``Ticked``.
 #: Source: a tenth of a second late is little beside every wait decided here.
 TICK_S = 0.1
@@ -103,6 +103,7 @@
     for follower in state.follower_by_collection.values():
         follower.doubt(now)
     state.peers.doubt_all()
+    state.demand.capacities.counts.valid_from = now
     effects: list[Effect] = [WriteLine(LogNumber.PAUSED, paused_s=round(event.paused_s, 3))]
     if event.paused_s >= STALE_PAUSE_S:
         effects.append(DropWaiting())
@@ -125,6 +126,7 @@
     effects.extend(end_evacuations(state, now))
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
+    effects.extend(learn_capacities(state, now))
     reckon_balance(state, now)
     reckon_room(state, now)
     state.admission.reckon(now)
