--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -320,9 +320,10 @@
     work.note_difference(errors)
     beyond = _difference(newest, 1) / work.error(learned.short)
     if learned.believed:
+        returns = abs(newest - 1) < abs(usual - 1)
         likely = abs(beyond) < USUAL_ERRORS and usual > _SLOWED
         needed = LIKELY_ERRORS if likely else RETURNED_ERRORS
-        return abs(newest - 1) < abs(usual - 1) and abs(errors) > needed
+        return returns and abs(errors) > needed
     learned.believed = abs(beyond) > CHANGED_ERRORS
     return learned.believed
 
