--- /dev/null
+++ b/src/bronzekeel/core/routing/asked_meter.py
@@ -0,0 +1,77 @@
+"""Count what callers ask of each service in the newest second, refused flows too.
+
+Requests that were placed are no measure of demand: a data centre that refuses most of its callers
+would seem to have few.  A smoothed rate is none of a crowd that lasts three seconds.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+
+from bronzekeel.core.routing.directory import Directory
+from bronzekeel.core.routing.messages import Asked
+
+
+#: Seconds over which requests are counted, and looks at the counts in that time.
+WINDOW_S = 1.0
+_LOOKS = 4
+
+
+class AskedMeter:
+    """Hold what was asked of this balancer in the newest second, None before it is known."""
+
+    __slots__ = ('_counts', '_look_at', 'by_service')
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self.by_service: dict[str, Asked] | None = None
+        self._counts: deque[dict[str, tuple[int, int]]] = deque(maxlen=_LOOKS + 1)
+        self._look_at: float = 0
+
+    def look(
+        self,
+        services: Iterable[str],
+        requests_by_service: Mapping[str, int],
+        directory: Directory,
+        now: float,
+    ) -> bool:
+        """Take the counts of some services, four times in the window; return whether it did."""
+        if now < self._look_at:
+            return False
+        self._look_at = now + WINDOW_S / _LOOKS
+        counts = {
+            service: (requests_by_service.get(service, 0), _refused(directory, service))
+            for service in services
+        }
+        self._counts.append(counts)
+        if len(self._counts) <= _LOOKS:
+            return True
+        former = self._counts[0]
+        self.by_service = {
+            service: _asked(former.get(service, (0, 0)), count, _waiting(directory, service))
+            for service, count in counts.items()
+        }
+        return True
+
+
+def total_of(asked: Iterable[Mapping[str, Asked]]) -> dict[str, Asked]:
+    """Return what is asked of several balancers together."""
+    total: dict[str, Asked] = {}
+    for asked_by_service in asked:
+        for service, one in asked_by_service.items():
+            known = total.get(service, Asked(0, 0))
+            total[service] = Asked(known.rate + one.rate, known.lacking + one.lacking)
+    return total
+
+
+def _asked(former: tuple[int, int], newest: tuple[int, int], waiting: int) -> Asked:
+    placed = newest[0] - former[0]
+    refused = newest[1] - former[1]
+    return Asked((placed + refused) / WINDOW_S, refused + waiting)
+
+
+def _refused(directory: Directory, service: str) -> int:
+    return sum(pool.refused for pool in directory.pools_by_service.get(service, {}).values())
+
+
+def _waiting(directory: Directory, service: str) -> int:
+    return sum(pool.waiting for pool in directory.pools_by_service.get(service, {}).values())
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 
+from bronzekeel.core.routing.flow_lengths import FlowLengths
 from bronzekeel.core.routing.histograms import Histogram
 from bronzekeel.core.routing.model import FlowPacket, Upstream
 from bronzekeel.core.routing.pools import LEAST_PATIENCE_S
@@ -97,8 +98,9 @@
     """Hold the flows that were seen of late.
 
     `answers` counts the times from requests to the acknowledgements of their
-    answers, `requests_by_service` the requests, new flows too.  Some upstream answered an opening
-    packet at `heard_at`, and one was found not to at `silent_at`.
+    answers, `lengths` how many requests flows carry, `requests_by_service` the requests, new
+    flows too.  Some upstream answered an opening packet at `heard_at`, and one was found not to
+    at `silent_at`.
     """
 
     def __init__(self) -> None:
@@ -107,6 +109,7 @@
         self._busy_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self._opening_by_key: OrderedDict[bytes, Flow] = OrderedDict()
         self.answers = Histogram()
+        self.lengths = FlowLengths()
         self.heard_at: float = 0
         self.silent_at: float = 0
         self.requests_by_service: dict[str, int] = {}
@@ -125,6 +128,7 @@
         flow = Flow(key, upstream, now)
         upstream.open_flows += 1
         self._by_key[key] = flow
+        self.lengths.note_opening(key)
         self._mark_busy(flow, now)
         self._opening_by_key[key] = flow
         if len(self._by_key) > MOST_FLOWS:
@@ -263,6 +267,7 @@
             flow.busy = True
             flow.upstream.busy_flows += 1
             flow.upstream.asked += 1
+            self.lengths.note_request(flow.key)
             service = flow.upstream.entry.service
             self.requests_by_service[service] = self.requests_by_service.get(service, 0) + 1
 
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -5,6 +5,12 @@
 
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
+from bronzekeel.core.routing.load_words import (
+    asked_here,
+    asked_of_centre,
+    centres_heard,
+    centres_heard_here,
+)
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
 from bronzekeel.core.routing.silence import silent_upstreams
 from bronzekeel.core.routing.state import RoutingState
@@ -56,6 +62,8 @@
             for service in rate_by_service
         },
         evacuated=_told_evacuated(state),
+        asked_by_service=asked_of_centre(state, now),
+        hears=centres_heard(state, now),
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
@@ -79,6 +87,8 @@
         state.balance.shares if state.balance.reckons else None,
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
+        asked_by_service=asked_here(state),
+        hears=centres_heard_here(state, now),
         evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
--- /dev/null
+++ b/src/bronzekeel/core/routing/load_words.py
@@ -0,0 +1,64 @@
+"""Gather what the hosts of a data centre know of load, to tell others."""
+
+from bronzekeel.core.routing.asked_meter import total_of
+from bronzekeel.core.routing.messages import Asked
+from bronzekeel.core.routing.moving_load import ROOM_WORD_S
+from bronzekeel.core.routing.state import RoutingState
+
+
+#: Services of which is told what is asked, at most.  Source: that of rates in heartbeats.
+MOST_ASKED = 8
+
+
+def controlled_services(state: RoutingState) -> list[str]:
+    """Return the services with upstreams whose demand is controlled."""
+    return [
+        service for service in state.directory.pools_by_service if state.controls_demand(service)
+    ]
+
+
+def asked_here(state: RoutingState) -> dict[str, Asked] | None:
+    """Return what the callers of this host ask for: nothing before it is known.
+
+    None if no service's demand is controlled.
+    """
+    if not controlled_services(state):
+        return None
+    return state.demand.moving.asked.by_service or {}
+
+
+def asked_of_centre(state: RoutingState, now: float) -> dict[str, Asked] | None:
+    """Return the same for all callers of this data centre."""
+    own = asked_here(state)
+    if not own:
+        return own
+    near = [
+        peer.heartbeat.asked_by_service
+        for peer in state.peers.living(now)
+        if peer.heartbeat is not None and peer.heartbeat.asked_by_service is not None
+    ]
+    total = total_of([own, *near])
+    largest = sorted(total, key=lambda service: -total[service].rate)[:MOST_ASKED]
+    return {service: total[service] for service in largest}
+
+
+def is_centre_lacking(state: RoutingState, now: float) -> bool:
+    """Whether callers of this data centre lack room of a service whose demand is controlled."""
+    asked = asked_of_centre(state, now) or {}
+    return any(one.lacking for one in asked.values())
+
+
+def centres_heard_here(state: RoutingState, now: float) -> tuple[str, ...]:
+    """Return the data centres that this host has heard of late."""
+    if not asked_here(state):
+        return ()
+    return tuple(sorted(state.relays.words_elsewhere(now, ROOM_WORD_S)))
+
+
+def centres_heard(state: RoutingState, now: float) -> tuple[str, ...]:
+    """Return the data centres that some host of this one has heard of late."""
+    heard = set(centres_heard_here(state, now))
+    for peer in state.peers.living(now):
+        if peer.heartbeat is not None:
+            heard.update(peer.heartbeat.hears)
+    return tuple(sorted(heard))
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -34,6 +34,17 @@
         self.requests = requests
 
 
+class Asked:
+    """Say what callers ask of a service: requests a second, and how many `lacking` room."""
+
+    __slots__ = ('lacking', 'rate')
+
+    def __init__(self, rate: float, lacking: int) -> None:
+        """Keep the `rate`; `lacking` counts those that wait or were refused in the last second."""
+        self.rate = rate
+        self.lacking = lacking
+
+
 class Evacuated:
     """Name the data centres that operators have evacuated.
 
@@ -79,13 +90,18 @@
     has heard too little from them.  `unanswered_by_number` says how many opening packets in a row
     upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
     evacuations: all of it, so that nobody has to ask.  `others` are peers that it knows.
+    `asked_by_service` says what its callers ask of services whose demand is controlled, or to
+    other data centres those of all its data centre; None if it does not know yet.  `hears` names
+    the data centres that it has heard of late.
     """
 
     __slots__ = (
         'allowances',
+        'asked_by_service',
         'busy_by_number',
         'direct',
         'evacuated',
+        'hears',
         'load_by_service',
         'lost',
         'others',
@@ -112,6 +128,8 @@
         allowances: tuple[Allowance, ...] | None = None,
         evacuated: Evacuated = NOTHING_EVACUATED,
         unanswered_by_number: Mapping[int, int] = _NOBODY,
+        asked_by_service: Mapping[str, Asked] | None = None,
+        hears: tuple[str, ...] = (),
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -128,6 +146,8 @@
         self.allowances = allowances
         self.evacuated = evacuated
         self.unanswered_by_number = unanswered_by_number
+        self.asked_by_service = asked_by_service
+        self.hears = hears
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- /dev/null
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -0,0 +1,179 @@
+"""Say how much of a service's load may move to other data centres, and when it is told.
+
+Load pattern: waves, crowds and moved callers of three to fifteen seconds, each in one data centre.
+Only what the own data centre has no room for moves, so it ends when there is room; what is
+reckoned here bounds it by the room that others have.
+
+What goes wrong without it: word of room takes two seconds and more to reach all hosts, and rates
+smoothed over five seconds send flows away after a crowd is over.  One notices by callers who are
+refused beside idle upstreams elsewhere, and by bytes between data centres in calm seconds.
+"""
+
+from collections.abc import Mapping
+
+from bronzekeel.core.routing.asked_meter import AskedMeter
+from bronzekeel.core.routing.balance import LEAST_RATE
+from bronzekeel.core.routing.departures import Departures
+from bronzekeel.core.routing.messages import Allowance
+from bronzekeel.core.routing.overflow import (
+    CLAIM_FACTOR,
+    LOAD_WITH_ROOM,
+    LOAD_WITHOUT_ROOM,
+    claims_of,
+)
+from bronzekeel.core.routing.pools import REQUESTS_A_SLOT
+from bronzekeel.core.routing.room_news import RoomNews
+
+
+#: Seconds for which the word of room is believed, of another data centre and of a neighbour.
+#: Source: relays tell each second and neighbours every 1.2 s; one of two may be lost.
+ROOM_WORD_S = 2.5
+
+#: Requests in progress a slot below which a data centre that lacked room has some again.
+#: Source: a quarter below the load from which it lacks some, twice the chance of a second in
+#: which forty requests come.
+LOAD_REGAINED = 0.75
+
+#: How many times its own slots a data centre must lack to go on claiming others'.
+CLAIM_KEPT_FACTOR = 0.5
+
+#: Seconds in which an allowance grows from nothing to what is reckoned; it shrinks at once.  What
+#: goes wrong without it: a data centre that was full tells of room, all others fill it at once,
+#: and it is full again.  Source: the time in which all hosts hear of a change.
+RISE_S = 1.0
+
+#: Change of requests in progress a slot that other data centres are told early.  Source: a
+#: third of the room that an idle data centre would still have at its usual load.
+LOAD_CHANGE = 0.25
+
+#: Requests, and the share of them, by which room must change to be told to neighbours early.
+ROOM_CHANGE = 1.0
+ROOM_CHANGE_SHARE = 0.25
+
+
+class CentreWord:
+    """Hold what another data centre told of one service.
+
+    Its `load` of own callers' requests a slot, the `rate` that they ask for, how many are
+    `lacking` room, and whether it `hears` the data centre that it told.
+    """
+
+    __slots__ = ('hears', 'lacking', 'load', 'rate')
+
+    def __init__(self, load: float, rate: float, lacking: int, *, hears: bool) -> None:
+        """Keep what was told."""
+        self.load = load
+        self.rate = rate
+        self.lacking = lacking
+        self.hears = hears
+
+    def room_of(self, capacity: float) -> float:
+        """Return the requests that upstreams of some `capacity` have room for."""
+        return max(0, LOAD_WITH_ROOM - self.load) * capacity
+
+
+class MovingLoad:
+    """Hold what is known of load that moves.
+
+    `asked` counts what callers ask for, `departures` the flows that went elsewhere; `near_news`
+    and `far_news` notice what neighbours and other data centres should hear early.
+    """
+
+    __slots__ = ('asked', 'departures', 'far_news', 'near_news', 'room')
+
+    def __init__(self) -> None:
+        """Start knowing nothing."""
+        self.asked = AskedMeter()
+        self.departures = Departures()
+        self.near_news = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
+        self.far_news = RoomNews(LOAD_CHANGE, 0)
+        self.room = SharedRoom()
+
+
+class SharedRoom:
+    """Reckon the allowances of the own data centre with hysteresis."""
+
+    __slots__ = ('_claiming', '_lacking', '_reckoned_at', '_requests_by_target')
+
+    def __init__(self) -> None:
+        """Start with no room."""
+        self._claiming: set[str] = set()
+        self._lacking: set[tuple[str, str]] = set()
+        self._requests_by_target: dict[tuple[str, str], float] = {}
+        self._reckoned_at: dict[str, float] = {}
+
+    def allowances_of(
+        self,
+        service: str,
+        home: str,
+        rate_at_home: float,
+        word_by_centre: Mapping[str, CentreWord],
+        capacity_by_centre: Mapping[str, float],
+        now: float,
+    ) -> list[Allowance]:
+        """Return how many requests of the callers at `home` may be in progress elsewhere.
+
+        The room of each other data centre in equal parts for all that lack some, and
+        never less than the part of all slots that follows from what all callers ask for.  None
+        where the own data centre is not heard: the way there may be cut.
+        """
+        rate_by_centre = {centre: word.rate for centre, word in word_by_centre.items()}
+        rate_by_centre[home] = rate_at_home
+        claims = self._claims(service, home, capacity_by_centre, rate_by_centre)
+        sharers = 1 + self._count_lacking(service, word_by_centre)
+        elapsed_s = self._elapsed_s(service, now)
+        allowances: list[Allowance] = []
+        for centre, word in word_by_centre.items():
+            room = word.room_of(capacity_by_centre.get(centre, 0)) / sharers
+            due = max(room, claims.get(centre, 0) * REQUESTS_A_SLOT)
+            requests = self._risen((service, centre), due if word.hears else 0, elapsed_s)
+            allowances.append(Allowance(service, centre, requests))
+        return allowances
+
+    def _elapsed_s(self, service: str, now: float) -> float:
+        former = self._reckoned_at.get(service, now)
+        self._reckoned_at[service] = now
+        return now - former
+
+    def _count_lacking(self, service: str, word_by_centre: Mapping[str, CentreWord]) -> int:
+        lacking = 0
+        for centre, word in word_by_centre.items():
+            lacks = word.lacking > 0 or word.load >= LOAD_WITHOUT_ROOM
+            if lacks:
+                self._lacking.add((service, centre))
+            elif word.load < LOAD_REGAINED:
+                self._lacking.discard((service, centre))
+            lacking += (service, centre) in self._lacking
+        return lacking
+
+    def _claims(
+        self,
+        service: str,
+        home: str,
+        capacity_by_centre: Mapping[str, float],
+        rate_by_centre: Mapping[str, float],
+    ) -> dict[str, float]:
+        if sum(rate_by_centre.values()) < LEAST_RATE:
+            return {}
+        factor = CLAIM_KEPT_FACTOR if service in self._claiming else CLAIM_FACTOR
+        claims = claims_of(home, capacity_by_centre, rate_by_centre, factor)
+        if claims:
+            self._claiming.add(service)
+        else:
+            self._claiming.discard(service)
+        return claims
+
+    def _risen(self, target: tuple[str, str], due: float, elapsed_s: float) -> float:
+        former = self._requests_by_target.get(target, 0)
+        risen = min(due, former + due * elapsed_s / RISE_S)
+        self._requests_by_target[target] = risen
+        return risen
+
+
+def whole_part(share: float, place: int) -> int:
+    """Return the whole requests of one balancer whose data centre's are split up.
+
+    What goes wrong without it: twenty balancers may each have a fraction of three requests in
+    progress, and each begins one.  `place` is the balancer's in the order of all.
+    """
+    return int(share * (place + 1)) - int(share * place)
--- a/src/bronzekeel/core/routing/overflow.py
+++ b/src/bronzekeel/core/routing/overflow.py
@@ -102,6 +102,7 @@
     home: str,
     capacity_by_centre: Mapping[str, float],
     rate_by_centre: Mapping[str, float],
+    factor: float = CLAIM_FACTOR,
 ) -> dict[str, float]:
     """Return the slots elsewhere that the callers at `home` may claim, by data centre.
 
@@ -117,7 +118,7 @@
     claimed = due_by_centre.get(home, 0) - own
     spare_by_centre = _spare_of(capacity_by_centre, due_by_centre)
     spare = sum(spare_by_centre.values())
-    if not spare or claimed < own * CLAIM_FACTOR:
+    if not spare or claimed < own * factor:
         return {}
     return {centre: claimed * unused / spare for centre, unused in spare_by_centre.items()}
 
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -36,6 +36,7 @@
     take_evacuated,
 )
 from bronzekeel.core.routing.follower import GATHER_S, LISTEN_S, Collection, Follower
+from bronzekeel.core.routing.load_moves import look_at_load
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.readiness import become_ready
@@ -359,6 +360,7 @@
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
     reckon_balance(state, now)
     reckon_room(state, now)
+    effects.extend(look_at_load(state, now))
     state.admission.reckon(now)
     pools = state.directory.pools_of(state.peers.me.data_centre)
     effects.extend(state.overloads.look(pools, now))
--- a/src/bronzekeel/core/routing/relays.py
+++ b/src/bronzekeel/core/routing/relays.py
@@ -88,6 +88,22 @@
             for centre, heartbeat in self._newest_by_centre(now).items()
         }
 
+    def words_elsewhere(self, now: float, within_s: float) -> dict[str, Heartbeat]:
+        """Return the newest heartbeat of each other data centre that tells what is asked there."""
+        newest_by_centre: dict[str, Heartbeat] = {}
+        for centre, peers in self._peers.elsewhere_by_centre().items():
+            told = [
+                peer for peer in peers if _tells_asked(peer) and now < peer.newest_at + within_s
+            ]
+            told.sort(key=lambda peer: peer.newest_at)
+            if told and told[-1].heartbeat is not None:
+                newest_by_centre[centre] = told[-1].heartbeat
+        return newest_by_centre
+
+    def tells_asked(self, centre: str) -> bool:
+        """Whether a host of a data centre has told what is asked there, now or before."""
+        return any(map(_tells_asked, self._peers.elsewhere_by_centre().get(centre, [])))
+
     def working_before(self, now: float) -> int:
         """Return how many neighbours with working watches come before this balancer."""
         rank = rank_of(self._peers.me.name)
@@ -125,6 +141,10 @@
         return [peer.address.address for peer in (heard + others)[:RELAYS]]
 
 
+def _tells_asked(peer: Peer) -> bool:
+    return peer.heartbeat is not None and peer.heartbeat.asked_by_service is not None
+
+
 def _is_fresh(peer: Peer, now: float) -> bool:
     """Whether a host elsewhere was heard within a few of its intervals."""
     return peer.heard_at is not None and now < peer.heard_at + RELAY_S * SILENT_INTERVALS
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -15,6 +15,7 @@
 from bronzekeel.core.routing.events import HeartbeatHeard, ViewFailed, ViewFetched
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
+from bronzekeel.core.routing.load_moves import hasten_room, is_hurried
 from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.model import UpstreamEntry
@@ -52,7 +53,8 @@
 def beat(state: RoutingState, now: float) -> list[Effect]:
     """Send the heartbeats that are due."""
     effects: list[Effect] = []
-    if state.flows.silent_at > state.peers.told_at:
+    news_at = max(state.flows.silent_at, state.demand.moving.near_news.changed_at)
+    if news_at > state.peers.told_at:
         state.peers.beat_soon()
     near = state.peers.due_neighbours(now)
     if near:
@@ -62,7 +64,7 @@
         state.relays.due(
             now,
             direct=state.is_direct(now),
-            strained=state.directory.is_strained(state.peers.me.data_centre, now),
+            strained=is_hurried(state, now),
         )
     )
     if far:
@@ -91,6 +93,7 @@
     joined = state.peers.note_heartbeat(heartbeat, now)
     effects.extend(_take_evacuated(state, heartbeat, now))
     take_silent(state, heartbeat.unanswered_by_number, now)
+    hasten_room(state, heartbeat)
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_order and not heartbeat.text_order):
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -6,6 +6,7 @@
 from bronzekeel.core.routing.connection_ids import opened, sealed
 from bronzekeel.core.routing.flows import Flow
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
+from bronzekeel.core.routing.departures import Departure
 from bronzekeel.core.routing.model import (
     FlowPacket,
     Route,
@@ -91,9 +92,12 @@
             request = waiting.take_ready(now)
 
     def _refuse(self, packet: FlowPacket, request: WaitingRequest, now: float) -> Verdict:
-        """Refuse a flow that found no room, unless its repeat may have opened it elsewhere."""
+        """Refuse a flow that found no room here or elsewhere, unless its repeat may be open."""
         if not request.opens or now >= request.until + LATE_REFUSAL_S:
             return Discard(Reason.GIVEN_UP)
+        moved = self._instead_of_refusal(packet, now)
+        if moved is not None:
+            return moved
         request.pool.refused += 1
         refusal = Decision('refused', packet, Reason.OVERLOADED, pool=request.pool)
         self._decisions.note(refusal, now)
@@ -141,15 +145,65 @@
         if upstream is None:
             return self._without_upstream(packet, now)
         if may_wait and not upstream.pool.has_room:
-            elsewhere = self._with_room_elsewhere(candidates, now)
+            elsewhere = self._at_once_elsewhere(candidates, route, now)
             if elsewhere is None and self._waits(packet, upstream.pool, route, now):
                 return Wait()
-            upstream = elsewhere or upstream
+            if elsewhere is not None:
+                return self._place(packet, elsewhere, route, text, now, Departure.NO_ROOM)
+        return self._place(packet, upstream, route, text, now, Departure.NO_UPSTREAM)
+
+    def _place(
+        self,
+        packet: FlowPacket,
+        upstream: Upstream,
+        route: Route,
+        text: RoutingText,
+        now: float,
+        departure: Departure,
+    ) -> Verdict:
+        """Open a flow at `upstream`; `departure` is why if that is in another data centre."""
         self._state.flows.place(packet.flow, upstream, now)
+        if upstream.entry.data_centre != self._state.peers.me.data_centre:
+            self._note_departure(upstream.entry.service, departure, now)
         self._state.eligibility.note_placed(upstream, text, now)
         self._decisions.note(Decision('placed', packet, upstream.entry.name, upstream), now)
         return Deliver(upstream, _id_of(upstream, route))
 
+    def _note_departure(self, service: str, departure: Departure, now: float) -> None:
+        if self._state.controls_demand(service):
+            self._state.demand.moving.departures.note(service, departure, now)
+
+    def _at_once_elsewhere(
+        self,
+        candidates: list[Upstream],
+        route: Route,
+        now: float,
+    ) -> Upstream | None:
+        """Return an upstream elsewhere for a flow that would wait at home, None if it is to wait.
+
+        Where demand is controlled, long flows wait first: they would cross for all their life.
+        """
+        service = candidates[0].entry.service
+        short = self._state.flows.lengths.is_short(route.key)
+        if self._state.controls_demand(service) and not short:
+            return None
+        return self._with_room_elsewhere(candidates, now)
+
+    def _instead_of_refusal(self, packet: FlowPacket, now: float) -> Verdict | None:
+        """Open a flow elsewhere that waited at home in vain, None if nobody has room."""
+        text = self._state.text
+        route = text.route_by_key.get(packet.route) if text else None
+        if text is None or route is None:
+            return None
+        service = _pick(route.shares, packet.flow)
+        if not self._state.controls_demand(service):
+            return None
+        candidates = self._state.eligibility.of_service(service, route, text, now)
+        upstream = self._with_room_elsewhere(candidates, now)
+        if upstream is None:
+            return None
+        return self._place(packet, upstream, route, text, now, Departure.ELSE_REFUSED)
+
     def _with_room_elsewhere(self, candidates: list[Upstream], now: float) -> Upstream | None:
         """Return an upstream of another data centre that has room, None if none has."""
         there = [
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -22,6 +22,7 @@
 )
 from bronzekeel.core.routing.messages import (
     Allowance,
+    Asked,
     Evacuated,
     FlowShare,
     Heartbeat,
@@ -111,6 +112,7 @@
             ),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
+            **_moving_out(heartbeat),
         },
     )
 
@@ -134,6 +136,8 @@
             unanswered_by_number={
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
+            asked_by_service=_asked_in(fields.get('asked')),
+            hears=tuple(label('hears', centre) for centre in fields.get('hears', ())),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -241,6 +245,28 @@
     )
 
 
+def _moving_out(heartbeat: Heartbeat) -> dict[str, Any]:
+    """Return the fields that only balancers with controlled demand send."""
+    fields: dict[str, Any] = {}
+    if heartbeat.asked_by_service is not None:
+        fields['asked'] = [
+            (service, round(asked.rate), asked.lacking)
+            for service, asked in heartbeat.asked_by_service.items()
+        ]
+    if heartbeat.hears:
+        fields['hears'] = heartbeat.hears
+    return fields
+
+
+def _asked_in(listed: list[Any] | None) -> dict[str, Asked] | None:
+    if listed is None:
+        return None
+    return {
+        str(service): Asked(_figure_in(rate), int(_figure_in(lacking)))
+        for service, rate, lacking in listed
+    }
+
+
 def _evacuated_in(as_of: list[Any], centres: list[Any]) -> Evacuated:
     names = frozenset(label('evacuated', centre) for centre in centres)
     return Evacuated(decode_revision(*as_of), names)
