--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -101,7 +101,15 @@
             by_centre[share.data_centre] = share.share
 
     def settle(self, shares: tuple[FlowShare, ...], home_loads: Mapping[str, float]) -> None:
-        """Put those of the `shares` in force whose services are strained at home.
+        """Put those of the `shares` in force whose services are strained at home."""
+        self.adopt(self.settled(shares, home_loads))
+
+    def settled(
+        self,
+        shares: tuple[FlowShare, ...],
+        home_loads: Mapping[str, float],
+    ) -> tuple[FlowShare, ...]:
+        """Return those of the `shares` whose services are strained at home.
 
         A service is from when its load has reached the bearable one until its callers
         ask for no more than is tolerated: sharing out takes the load away at once.
@@ -112,7 +120,7 @@
             for service in above
             if service in self._strained or home_loads.get(service, 0) >= self.bearable
         }
-        self.adopt(tuple(share for share in shares if share.service in self._strained))
+        return tuple(share for share in shares if share.service in self._strained)
 
     def centre_of_next(self, service: str) -> str | None:
         """Return the data centre that is to get the next flow, None for the own."""
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -3,10 +3,10 @@
 from bronzekeel.core.routing.admission import capacity_at
 from bronzekeel.core.routing.balance import RECKON_S, load_at, reckoned
 from bronzekeel.core.routing.load_moves import (
+    adopt_shares,
     believed_allowances,
     moved_allowances,
-    shares_in_force,
-    split_allowances,
+    reckon_moving_shares,
 )
 from bronzekeel.core.routing.overflow import RECKON_ROOM_S, allowances_of, put_in_force
 from bronzekeel.core.routing.state import RoutingState
@@ -24,15 +24,14 @@
     rates_by_centre = state.relays.rates_elsewhere(now)
     state.balance.reckons = bool(rates_by_centre) and state.balance.meter.settled
     if not state.balance.reckons:
-        state.balance.adopt(shares_in_force(state, state.peers.shares_near(now)))
+        adopt_shares(state, state.peers.shares_near(now))
         return
     home = state.peers.me.data_centre
     rates_by_centre[home] = rates_of_centre(state, now)
     tolerated = state.balance.tolerated
     shares = reckoned(state.directory, home, rates_by_centre, tolerated)
-    shares = shares_in_force(state, shares)
     loads = {share.service: load_at(state.directory, home, share.service) for share in shares}
-    state.balance.settle(shares, loads)
+    adopt_shares(state, state.balance.settled(shares, loads))
 
 
 def reckon_room(state: RoutingState, now: float) -> None:
@@ -63,7 +62,7 @@
     shares = {service: state.admission.share_of(service, now) for service in services}
     homeless = {service for service in services if _is_homeless(state, service, now)}
     put_in_force(state.directory, home, room.allowances, shares, homeless)
-    split_allowances(state, homeless, now)
+    reckon_moving_shares(state, now)
 
 
 def _is_homeless(state: RoutingState, service: str, now: float) -> bool:
--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -1,7 +1,5 @@
 """Keep up where load that moves may go, for the services whose demand is controlled."""
 
-from collections.abc import Hashable
-
 from bronzekeel.core.routing.balance import capacity_by_centre_of, load_at
 from bronzekeel.core.routing.effects import Effect
 from bronzekeel.core.routing.load_words import (
@@ -10,8 +8,7 @@
     is_centre_lacking,
 )
 from bronzekeel.core.routing.messages import Allowance, Asked, FlowShare, Heartbeat
-from bronzekeel.core.routing.moving_load import ROOM_WORD_S, CentreWord, whole_part
-from bronzekeel.core.routing.peers import rank_of
+from bronzekeel.core.routing.moving_load import ROOM_WORD_S, CentreWord
 from bronzekeel.core.routing.relays import RELAY_S
 from bronzekeel.core.routing.state import RoutingState
 
@@ -27,7 +24,8 @@
         return []
     requests_by_service = state.flows.requests_by_service
     if moving.asked.look(services, requests_by_service, state.directory, now):
-        moving.far_news.note(_far_levels(state, services), now)
+        moving.load_by_service = _loads_at_home(state, services)
+        moving.far_news.note(moving.load_by_service, now)
     moving.near_news.note(_near_levels(state, services), now)
     return moving.departures.look(now)
 
@@ -49,14 +47,66 @@
     return now < state.demand.moving.far_news.changed_at + RELAY_S or is_centre_lacking(state, now)
 
 
-def shares_in_force(state: RoutingState, shares: tuple[FlowShare, ...]) -> tuple[FlowShare, ...]:
-    """Leave out the shares of services whose flows leave only where home has no room.
+def adopt_shares(state: RoutingState, shares: tuple[FlowShare, ...]) -> None:
+    """Put shares in force, but for services whose shares are reckoned by the newest second.
 
     Where operators ask for equal work, all shares count.
     """
     if not state.balance.bearable:
-        return shares
-    return tuple(share for share in shares if not state.controls_demand(share.service))
+        state.balance.adopt(shares)
+        return
+    plain = [share for share in shares if not state.controls_demand(share.service)]
+    kept = [share for share in state.balance.shares if state.controls_demand(share.service)]
+    state.balance.adopt((*plain, *kept))
+
+
+def reckon_moving_shares(state: RoutingState, now: float) -> None:
+    """Settle which flows leave that home could not serve in time, by the newest second."""
+    services = controlled_services(state)
+    if not services or not state.balance.bearable:
+        return
+    words = state.relays.words_elsewhere(now, ROOM_WORD_S)
+    shares = _shares_of(state, services, words, now) if words else _shares_near(state, now)
+    plain = [share for share in state.balance.shares if share.service not in services]
+    state.balance.adopt((*plain, *shares))
+
+
+def _shares_near(state: RoutingState, now: float) -> list[FlowShare]:
+    """Return the shares that a neighbour reckoned, unless its word is old."""
+    if now >= state.peers.allowances_told_at(now) + ROOM_WORD_S:
+        return []
+    return [share for share in state.peers.shares_near(now) if state.controls_demand(share.service)]
+
+
+def _shares_of(
+    state: RoutingState,
+    services: list[str],
+    words: dict[str, Heartbeat],
+    now: float,
+) -> list[FlowShare]:
+    home = state.peers.me.data_centre
+    asked = asked_of_centre(state, now) or {}
+    shares: list[FlowShare] = []
+    for service in services:
+        rate_by_centre = _rates_of(service, home, words)
+        rate_by_centre[home] = asked.get(service, _NOTHING_ASKED).rate
+        capacity_by_centre = capacity_by_centre_of(state.directory.of_service(service))
+        load = load_at(state.directory, home, service)
+        by_centre = state.demand.moving.shares.shares_of(
+            service, home, capacity_by_centre, rate_by_centre, load
+        )
+        shares.extend(FlowShare(service, centre, share) for centre, share in by_centre.items())
+    return shares
+
+
+def _rates_of(service: str, home: str, words: dict[str, Heartbeat]) -> dict[str, float]:
+    """Return what is asked in the data centres that hear this one."""
+    rate_by_centre: dict[str, float] = {}
+    for centre, heartbeat in words.items():
+        asked = heartbeat.asked_by_service or {}
+        if home in heartbeat.hears and service in asked:
+            rate_by_centre[centre] = asked[service].rate
+    return rate_by_centre
 
 
 def moved_allowances(
@@ -92,20 +142,6 @@
     return tuple(one for one in allowances if not state.controls_demand(one.service))
 
 
-def split_allowances(state: RoutingState, homeless: set[str], now: float) -> None:
-    """Give this balancer whole requests of its data centre's allowances.
-
-    Flows that have no upstream at home keep their part, however small.
-    """
-    me = state.peers.me
-    names = [me.name, *(peer.address.name for peer in state.peers.living(now))]
-    names.sort(key=rank_of)
-    place = names.index(me.name)
-    for (service, _), pool in state.directory.pools_elsewhere(me.data_centre).items():
-        if service not in homeless and state.controls_demand(service):
-            pool.allowance = whole_part(pool.allowance, place)
-
-
 def _allowances_of(
     state: RoutingState,
     service: str,
@@ -130,15 +166,18 @@
     return CentreWord(load, asked.rate, asked.lacking, hears=home in heartbeat.hears)
 
 
-def _far_levels(state: RoutingState, services: list[str]) -> dict[Hashable, float]:
+def _loads_at_home(state: RoutingState, services: list[str]) -> dict[str, float]:
     """Return the load at home of each service."""
     home = state.peers.me.data_centre
     return {service: load_at(state.directory, home, service) for service in services}
 
 
-def _near_levels(state: RoutingState, services: list[str]) -> dict[Hashable, float]:
+def _near_levels(
+    state: RoutingState,
+    services: list[str],
+) -> dict[str | tuple[str, str], float]:
     """Return how many requests wait here, and the room elsewhere if it is reckoned here."""
-    levels: dict[Hashable, float] = {
+    levels: dict[str | tuple[str, str], float] = {
         service: sum(pool.waiting for pool in state.directory.pools_by_service[service].values())
         for service in services
     }
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from bronzekeel.core.routing.asked_meter import AskedMeter
-from bronzekeel.core.routing.balance import LEAST_RATE
+from bronzekeel.core.routing.balance import LEAST_RATE, shares_of
 from bronzekeel.core.routing.departures import Departures
 from bronzekeel.core.routing.messages import Allowance
 from bronzekeel.core.routing.overflow import (
@@ -34,6 +34,15 @@
 #: which forty requests come.
 LOAD_REGAINED = 0.75
 
+#: How many times its share of all requests a data centre is asked for when a crowd begins, and
+#: while it lasts.  Source: callers wait from about twice the usual on; between the two lies more
+#: than the chance of a second in which forty requests come.
+CROWD_FACTOR = 2.0
+CROWD_KEPT_FACTOR = 1.5
+
+#: Requests in progress a slot from which a crowd counts: one slot in five is still free.
+LOAD_CROWDED = 0.8
+
 #: How many times its own slots a data centre must lack to go on claiming others'.
 CLAIM_KEPT_FACTOR = 0.5
 
@@ -75,19 +84,66 @@
 class MovingLoad:
     """Hold what is known of load that moves.
 
+    `load_by_service` has the requests in progress a slot at home, as looked at last.
     `asked` counts what callers ask for, `departures` the flows that went elsewhere; `near_news`
     and `far_news` notice what neighbours and other data centres should hear early.
     """
 
-    __slots__ = ('asked', 'departures', 'far_news', 'near_news', 'room')
+    __slots__ = (
+        'asked',
+        'departures',
+        'far_news',
+        'load_by_service',
+        'near_news',
+        'room',
+        'shares',
+    )
 
     def __init__(self) -> None:
         """Start knowing nothing."""
         self.asked = AskedMeter()
+        self.load_by_service: dict[str, float] = {}
         self.departures = Departures()
-        self.near_news = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
-        self.far_news = RoomNews(LOAD_CHANGE, 0)
+        self.near_news: RoomNews[str | tuple[str, str]] = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
+        self.far_news: RoomNews[str] = RoomNews(LOAD_CHANGE, 0)
         self.room = SharedRoom()
+        self.shares = CrowdShares()
+
+    def is_full(self, service: str) -> bool:
+        """Whether the own data centre lacks room for a service."""
+        return self.load_by_service.get(service, 0) >= LOAD_WITHOUT_ROOM
+
+
+class CrowdShares:
+    """Reckon which share of the flows at home goes elsewhere, with hysteresis."""
+
+    __slots__ = ('_crowded',)
+
+    def __init__(self) -> None:
+        """Start with no crowd."""
+        self._crowded: set[str] = set()
+
+    def shares_of(
+        self,
+        service: str,
+        home: str,
+        capacity_by_centre: Mapping[str, float],
+        rate_by_centre: Mapping[str, float],
+        load: float,
+    ) -> dict[str, float]:
+        """Return the share for each other data centre, by what callers ask for everywhere.
+
+        None before the `load` at home is so high that callers will soon wait.
+        """
+        if service not in self._crowded and load < LOAD_CROWDED:
+            return {}
+        tolerated = CROWD_KEPT_FACTOR if service in self._crowded else CROWD_FACTOR
+        shares = shares_of(home, capacity_by_centre, rate_by_centre, tolerated)
+        if shares:
+            self._crowded.add(service)
+        else:
+            self._crowded.discard(service)
+        return shares
 
 
 class SharedRoom:
@@ -168,12 +224,3 @@
         risen = min(due, former + due * elapsed_s / RISE_S)
         self._requests_by_target[target] = risen
         return risen
-
-
-def whole_part(share: float, place: int) -> int:
-    """Return the whole requests of one balancer whose data centre's are split up.
-
-    What goes wrong without it: twenty balancers may each have a fraction of three requests in
-    progress, and each begins one.  `place` is the balancer's in the order of all.
-    """
-    return int(share * (place + 1)) - int(share * place)
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -179,16 +179,21 @@
         route: Route,
         now: float,
     ) -> Upstream | None:
-        """Return an upstream elsewhere for a flow that would wait at home, None if it is to wait.
-
-        Where demand is controlled, long flows wait first: they would cross for all their life.
-        """
+        """Return an upstream elsewhere for a flow that would wait at home, None if it is to wait."""
         service = candidates[0].entry.service
-        short = self._state.flows.lengths.is_short(route.key)
-        if self._state.controls_demand(service) and not short:
+        if self._state.controls_demand(service) and not self._may_cross(service, route):
             return None
         return self._with_room_elsewhere(candidates, now)
 
+    def _may_cross(self, service: str, route: Route) -> bool:
+        """Whether a flow that finds no room at this host may go to another data centre.
+
+        A long flow crosses for all its life, so it goes only if the whole data centre lacks room.
+        """
+        if self._state.flows.lengths.is_short(route.key):
+            return True
+        return self._state.demand.moving.is_full(service)
+
     def _instead_of_refusal(self, packet: FlowPacket, now: float) -> Verdict | None:
         """Open a flow elsewhere that waited at home in vain, None if nobody has room."""
         text = self._state.text
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -127,10 +127,14 @@
         rate_of: Callable[[float], float],
         lasting_s: float,
         kind: RequestKind = SINGLE,
+        centre: str | None = None,
     ) -> None:
-        """Let requests arrive at random, ``rate_of`` a second, for some time, a flow each."""
+        """Let requests arrive at random, ``rate_of`` a second, for some time, a flow each.
+
+        They come from callers in `centre`, or in all data centres by their weights.
+        """
         for at_s in self._arrivals(rate_of, lasting_s):
-            begin = partial(self._begin, kind, self._any_centre(), None, _forget)
+            begin = partial(self._begin, kind, centre or self._any_centre(), None, _forget)
             self.fleet.at(at_s, begin)
 
     def ask_from_clients(
--- a/src/bronzekeel/replay/load_callers.py
+++ b/src/bronzekeel/replay/load_callers.py
@@ -148,11 +148,15 @@
         names_by_centre: dict[str, tuple[str, ...]],
         server_by_name: dict[str, Server],
     ) -> None:
-        """Send through the hosts of a data centre at random."""
+        """Send through the hosts of a data centre at random.
+
+        `crossed` has when flows were opened in another data centre, from where and to where.
+        """
         self.fleet = fleet
         self.waited_for_copy = 0
         self.opened = 0
         self.opened_twice = 0
+        self.crossed: list[tuple[float, str, str]] = []
         self._names_by_centre = names_by_centre
         self._server_by_name = server_by_name
         self._numbers = 0
@@ -253,6 +257,9 @@
             self.opened_twice += len(flow.opened_by) > 1
             return
         self.opened += 1
+        home = self.fleet.node_by_name[flow.host].me.data_centre
+        if server.data_centre != home:
+            self.crossed.append((self.fleet.now, home, server.data_centre))
         self.waited_for_copy += bool(copy)
         flow.server = server
         flow.connection_id = connection_id
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -31,6 +31,7 @@
 )
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.decisions import NoDecisionLog
+from bronzekeel.core.routing.demand_control import DemandControl, DemandControlMode
 from bronzekeel.core.routing.messages import Heartbeat, PeerAddress
 from bronzekeel.core.routing.model import FlowPacket
 from bronzekeel.core.routing.peers import PeerTable
@@ -60,6 +61,7 @@
     placement_of: type[Placement] = LeastBusy
     admission_of: type[Admission] = RequestsPerSlot
     order_of: type[WaitingOrder] = NewestFirst
+    demand_control: DemandControlMode = DemandControlMode.BY_OBJECTIVE
 
 
 _Then = Callable[[Verdict], None]
@@ -111,12 +113,16 @@
         seed: int = 1,
         policies: FleetPolicies | None = None,
     ) -> None:
-        """Set up balancers by data centre; ``start`` starts them."""
+        """Set up balancers by data centre; ``start`` starts them.
+
+        Heartbeats are lost between `cut_centres` and others, and on `lost_ways` from one to another.
+        """
         super().__init__(seed)
         self._policies = policies or FleetPolicies()
         self.store = StoreModel()
         self.node_by_name: dict[str, RoutingNode] = {}
         self.cut_centres: set[str] = set()
+        self.lost_ways: set[tuple[str, str]] = set()
         self.views_pass = True
         self.heartbeats_elsewhere = 0
         self._handlers: dict[type[Effect], Callable[..., None]] = {
@@ -220,6 +226,7 @@
             _STOP_S,
             self._policies.admission_of,
             self._policies.order_of,
+            demand_control=DemandControl(self._policies.demand_control),
         )
 
     def _start(self, node: RoutingNode) -> None:
@@ -328,6 +335,8 @@
     def _reaches(self, node: RoutingNode, peer: RoutingNode) -> bool:
         if node.me.data_centre == peer.me.data_centre:
             return True
+        if (node.me.data_centre, peer.me.data_centre) in self.lost_ways:
+            return False
         return not {node.me.data_centre, peer.me.data_centre} & self.cut_centres
 
     def _reaches_store(self, node: RoutingNode) -> bool:
