--- a/src/bronzekeel/core/routing/asked_meter.py
+++ b/src/bronzekeel/core/routing/asked_meter.py
@@ -1,4 +1,4 @@
-"""Count what callers ask of each service in the newest second, refused flows too.
+"""Count what callers ask of each service in the newest half second, refused flows too.
 
 Requests that were placed are no measure of demand: a data centre that refuses most of its callers
 would seem to have few.  A smoothed rate is none of a crowd that lasts three seconds.
@@ -11,13 +11,15 @@
 from bronzekeel.core.routing.messages import Asked
 
 
-#: Seconds over which requests are counted, and looks at the counts in that time.
-WINDOW_S = 1.0
-_LOOKS = 4
+#: Seconds over which requests are counted, and looks at the counts in that time.  Source: a crowd
+#: must be known within a second at all hosts; forty requests in half a second are sixteen percent
+#: off by chance, and shares change at half as much again.
+WINDOW_S = 0.5
+_LOOKS = 5
 
 
 class AskedMeter:
-    """Hold what was asked of this balancer in the newest second, None before it is known."""
+    """Hold what was asked of this balancer in the newest half second, None before it is known."""
 
     __slots__ = ('_counts', '_look_at', 'by_service')
 
@@ -34,7 +36,7 @@
         directory: Directory,
         now: float,
     ) -> bool:
-        """Take the counts of some services, four times in the window; return whether it did."""
+        """Take the counts of some services, some times in the window; return whether it did."""
         if now < self._look_at:
             return False
         self._look_at = now + WINDOW_S / _LOOKS
--- a/src/bronzekeel/core/routing/balancing.py
+++ b/src/bronzekeel/core/routing/balancing.py
@@ -4,7 +4,7 @@
 from bronzekeel.core.routing.balance import RECKON_S, load_at, reckoned
 from bronzekeel.core.routing.load_moves import (
     adopt_shares,
-    believed_allowances,
+    allowances_in_force,
     moved_allowances,
     reckon_moving_shares,
 )
@@ -49,19 +49,20 @@
     if room.reckons:
         rates_by_centre = state.relays.rates_elsewhere(now)
         rates_by_centre[home] = rates_of_centre(state, now)
-        allowances = allowances_of(
+        reckoned_here = allowances_of(
             state.directory,
             home,
             load_by_service_by_centre,
             rates_by_centre,
         )
-        room.allowances = moved_allowances(state, allowances, now)
+        room.allowances = moved_allowances(state, reckoned_here, now)
     else:
-        room.allowances = believed_allowances(state, now)
-    services = {allowance.service for allowance in room.allowances}
+        room.allowances = state.peers.allowances_near(now)
+    allowances = allowances_in_force(state, now)
+    services = {allowance.service for allowance in allowances}
     shares = {service: state.admission.share_of(service, now) for service in services}
     homeless = {service for service in services if _is_homeless(state, service, now)}
-    put_in_force(state.directory, home, room.allowances, shares, homeless)
+    put_in_force(state.directory, home, allowances, shares, homeless)
     reckon_moving_shares(state, now)
 
 
--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -5,6 +5,7 @@
 
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
+from bronzekeel.core.routing.load_moves import told_shares
 from bronzekeel.core.routing.load_words import (
     asked_here,
     asked_of_centre,
@@ -84,7 +85,7 @@
         _largest(busy_by_number, MOST_LOADS),
         state.peers.some_others(state.peers.me.data_centre, now),
         _largest(state.balance.meter.by_service, MOST_RATES),
-        state.balance.shares if state.balance.reckons else None,
+        told_shares(state),
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
         asked_by_service=asked_here(state),
--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -4,17 +4,23 @@
 from bronzekeel.core.routing.effects import Effect
 from bronzekeel.core.routing.load_words import (
     asked_of_centre,
+    centres_heard,
     controlled_services,
     is_centre_lacking,
 )
 from bronzekeel.core.routing.messages import Allowance, Asked, FlowShare, Heartbeat
-from bronzekeel.core.routing.moving_load import ROOM_WORD_S, CentreWord
+from bronzekeel.core.routing.moving_load import ROOM_WORD_S, CentreWord, LevelKey
+from bronzekeel.core.routing.peers import Peer
 from bronzekeel.core.routing.relays import RELAY_S
 from bronzekeel.core.routing.state import RoutingState
 
 
 _NOTHING_ASKED = Asked(0, 0)
 
+#: Marks a share among levels, which counts as so many flows: a tenth of all is told early.
+_SHARE = 'share'
+_FLOWS = 10
+
 
 def look_at_load(state: RoutingState, now: float) -> list[Effect]:
     """Count what is asked, and notice what others should hear at once."""
@@ -61,21 +67,54 @@
 
 
 def reckon_moving_shares(state: RoutingState, now: float) -> None:
-    """Settle which flows leave that home could not serve in time, by the newest second."""
+    """Settle which flows leave that home could not serve in time, by the newest word.
+
+    A host that hears all data centres that its neighbours hear reckons the shares itself; the
+    others take them from one that does.
+    """
+    moving = state.demand.moving
     services = controlled_services(state)
     if not services or not state.balance.bearable:
         return
     words = state.relays.words_elsewhere(now, ROOM_WORD_S)
-    shares = _shares_of(state, services, words, now) if words else _shares_near(state, now)
+    complete = bool(words) and set(words) >= set(centres_heard(state, now))
+    moving.reckoned_shares = _shares_of(state, services, words, now) if complete else ()
+    shares = moving.reckoned_shares if complete else _shares_near(state, now)
     plain = [share for share in state.balance.shares if share.service not in services]
     state.balance.adopt((*plain, *shares))
 
 
-def _shares_near(state: RoutingState, now: float) -> list[FlowShare]:
-    """Return the shares that a neighbour reckoned, unless its word is old."""
-    if now >= state.peers.allowances_told_at(now) + ROOM_WORD_S:
-        return []
-    return [share for share in state.peers.shares_near(now) if state.controls_demand(share.service)]
+def told_shares(state: RoutingState) -> tuple[FlowShare, ...] | None:
+    """Return the shares that were reckoned here, None if this host hears too little for it.
+
+    What goes wrong with shares that neighbours told: hosts repeat each other's for ever.
+    """
+    if not state.balance.reckons:
+        return None
+    if not state.balance.bearable:
+        return state.balance.shares
+    plain = [share for share in state.balance.shares if not state.controls_demand(share.service)]
+    return (*plain, *state.demand.moving.reckoned_shares)
+
+
+def _shares_near(state: RoutingState, now: float) -> tuple[FlowShare, ...]:
+    """Return the shares of the neighbour that hears most, unless its word is old."""
+    told: tuple[FlowShare, ...] = ()
+    most = (0, 0.0)
+    for peer in _told_lately(state, now):
+        if peer.heartbeat is None or peer.heartbeat.shares is None:
+            continue
+        heard = (len(peer.heartbeat.hears), peer.newest_at)
+        if heard > most:
+            most = heard
+            told = peer.heartbeat.shares
+    return tuple(share for share in told if state.controls_demand(share.service))
+
+
+def _told_lately(state: RoutingState, now: float) -> list[Peer]:
+    """Return the neighbours whose word of room is still believed, the newest last."""
+    lately = [peer for peer in state.peers.living(now) if now < peer.newest_at + ROOM_WORD_S]
+    return sorted(lately, key=lambda peer: peer.newest_at)
 
 
 def _shares_of(
@@ -83,7 +122,7 @@
     services: list[str],
     words: dict[str, Heartbeat],
     now: float,
-) -> list[FlowShare]:
+) -> tuple[FlowShare, ...]:
     home = state.peers.me.data_centre
     asked = asked_of_centre(state, now) or {}
     shares: list[FlowShare] = []
@@ -93,10 +132,10 @@
         capacity_by_centre = capacity_by_centre_of(state.directory.of_service(service))
         load = load_at(state.directory, home, service)
         by_centre = state.demand.moving.shares.shares_of(
-            service, home, capacity_by_centre, rate_by_centre, load
+            service, home, capacity_by_centre, rate_by_centre, load, now
         )
         shares.extend(FlowShare(service, centre, share) for centre, share in by_centre.items())
-    return shares
+    return tuple(shares)
 
 
 def _rates_of(service: str, home: str, words: dict[str, Heartbeat]) -> dict[str, float]:
@@ -134,12 +173,22 @@
     return tuple(kept)
 
 
-def believed_allowances(state: RoutingState, now: float) -> tuple[Allowance, ...]:
-    """Return what neighbours reckoned, without what is too old for moving load."""
-    allowances = state.peers.allowances_near(now)
-    if now < state.peers.allowances_told_at(now) + ROOM_WORD_S:
-        return allowances
-    return tuple(one for one in allowances if not state.controls_demand(one.service))
+def allowances_in_force(state: RoutingState, now: float) -> tuple[Allowance, ...]:
+    """Return what is reckoned here, and what only neighbours lately had word for.
+
+    Where demand is not controlled it is only the one or the other.
+    """
+    reckoned = state.room.allowances
+    if not state.room.reckons:
+        reckoned = tuple(one for one in reckoned if not state.controls_demand(one.service))
+    by_target: dict[tuple[str, str], Allowance] = {}
+    for peer in _told_lately(state, now):
+        for told in (peer.heartbeat and peer.heartbeat.allowances) or ():
+            if state.controls_demand(told.service):
+                by_target[(told.service, told.data_centre)] = told
+    for own in reckoned:
+        by_target[(own.service, own.data_centre)] = own
+    return tuple(by_target.values())
 
 
 def _allowances_of(
@@ -175,13 +224,15 @@
 def _near_levels(
     state: RoutingState,
     services: list[str],
-) -> dict[str | tuple[str, str], float]:
+) -> dict[LevelKey, float]:
     """Return how many requests wait here, and the room elsewhere if it is reckoned here."""
-    levels: dict[str | tuple[str, str], float] = {
+    levels: dict[LevelKey, float] = {
         service: sum(pool.waiting for pool in state.directory.pools_by_service[service].values())
         for service in services
     }
     if state.room.reckons:
         for allowance in state.room.allowances:
             levels[(allowance.service, allowance.data_centre)] = allowance.requests
+    for share in state.demand.moving.reckoned_shares:
+        levels[(share.service, share.data_centre, _SHARE)] = share.share * _FLOWS
     return levels
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -14,7 +14,7 @@
 from bronzekeel.core.routing.asked_meter import AskedMeter
 from bronzekeel.core.routing.balance import LEAST_RATE, shares_of
 from bronzekeel.core.routing.departures import Departures
-from bronzekeel.core.routing.messages import Allowance
+from bronzekeel.core.routing.messages import Allowance, FlowShare
 from bronzekeel.core.routing.overflow import (
     CLAIM_FACTOR,
     LOAD_WITH_ROOM,
@@ -40,6 +40,11 @@
 CROWD_FACTOR = 2.0
 CROWD_KEPT_FACTOR = 1.5
 
+#: Seconds for which a crowd must have been seen.  What goes wrong without it: callers ask for more
+#: everywhere, each data centre knows it of itself first, and all send each other flows.  Source:
+#: the time in which word of a change reaches other data centres.
+CROWD_SEEN_S = 0.5
+
 #: Requests in progress a slot from which a crowd counts: one slot in five is still free.
 LOAD_CROWDED = 0.8
 
@@ -59,6 +64,9 @@
 ROOM_CHANGE = 1.0
 ROOM_CHANGE_SHARE = 0.25
 
+#: What is told early: of a service, and of one elsewhere its room or its share.
+LevelKey = str | tuple[str, ...]
+
 
 class CentreWord:
     """Hold what another data centre told of one service.
@@ -95,6 +103,7 @@
         'far_news',
         'load_by_service',
         'near_news',
+        'reckoned_shares',
         'room',
         'shares',
     )
@@ -104,10 +113,11 @@
         self.asked = AskedMeter()
         self.load_by_service: dict[str, float] = {}
         self.departures = Departures()
-        self.near_news: RoomNews[str | tuple[str, str]] = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
+        self.near_news: RoomNews[LevelKey] = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
         self.far_news: RoomNews[str] = RoomNews(LOAD_CHANGE, 0)
         self.room = SharedRoom()
         self.shares = CrowdShares()
+        self.reckoned_shares: tuple[FlowShare, ...] = ()
 
     def is_full(self, service: str) -> bool:
         """Whether the own data centre lacks room for a service."""
@@ -117,11 +127,12 @@
 class CrowdShares:
     """Reckon which share of the flows at home goes elsewhere, with hysteresis."""
 
-    __slots__ = ('_crowded',)
+    __slots__ = ('_crowded', '_crowded_since')
 
     def __init__(self) -> None:
         """Start with no crowd."""
         self._crowded: set[str] = set()
+        self._crowded_since: dict[str, float] = {}
 
     def shares_of(
         self,
@@ -130,19 +141,23 @@
         capacity_by_centre: Mapping[str, float],
         rate_by_centre: Mapping[str, float],
         load: float,
+        now: float,
     ) -> dict[str, float]:
         """Return the share for each other data centre, by what callers ask for everywhere.
 
-        None before the `load` at home is so high that callers will soon wait.
+        None before the `load` at home is so high that callers will soon wait, and has been for as
+        long as others' word of the same burst takes.
         """
-        if service not in self._crowded and load < LOAD_CROWDED:
-            return {}
-        tolerated = CROWD_KEPT_FACTOR if service in self._crowded else CROWD_FACTOR
+        known = service in self._crowded
+        tolerated = CROWD_KEPT_FACTOR if known else CROWD_FACTOR
         shares = shares_of(home, capacity_by_centre, rate_by_centre, tolerated)
-        if shares:
-            self._crowded.add(service)
-        else:
+        if not shares or not known and load < LOAD_CROWDED:
             self._crowded.discard(service)
+            self._crowded_since.pop(service, None)
+            return {}
+        if now < self._crowded_since.setdefault(service, now) + CROWD_SEEN_S:
+            return {}
+        self._crowded.add(service)
         return shares
 
 
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -265,17 +265,6 @@
         newest = self._newest_near(now, lambda heartbeat: heartbeat.allowances is not None)
         return (newest and newest.allowances) or ()
 
-    def allowances_told_at(self, now: float) -> float:
-        """Return when a living neighbour told allowances last, zero if nobody did."""
-        return max(
-            (
-                peer.newest_at
-                for peer in self.living(now)
-                if peer.heartbeat is not None and peer.heartbeat.allowances is not None
-            ),
-            default=0,
-        )
-
     def _newest_near(self, now: float, has: Callable[[Heartbeat], bool]) -> Heartbeat | None:
         """Return the newest heartbeat of a living neighbour that `has` something."""
         newest: Peer | None = None
