--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -9,7 +9,6 @@
 from bronzekeel.core.routing.load_words import (
     asked_here,
     asked_of_centre,
-    centres_heard,
     centres_heard_here,
 )
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
@@ -64,7 +63,7 @@
         },
         evacuated=_told_evacuated(state),
         asked_by_service=asked_of_centre(state, now),
-        hears=centres_heard(state, now),
+        unheard=tuple(sorted(state.demand.moving.unheard.names)),
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -32,6 +32,7 @@
     if moving.asked.look(services, requests_by_service, state.directory, now):
         moving.load_by_service = _loads_at_home(state, services)
         moving.far_news.note(moving.load_by_service, now)
+        moving.unheard.note(centres_heard(state, now), now)
     moving.near_news.note(_near_levels(state, services), now)
     return moving.departures.look(now)
 
@@ -143,7 +144,7 @@
     rate_by_centre: dict[str, float] = {}
     for centre, heartbeat in words.items():
         asked = heartbeat.asked_by_service or {}
-        if home in heartbeat.hears and service in asked:
+        if home not in heartbeat.unheard and service in asked:
             rate_by_centre[centre] = asked[service].rate
     return rate_by_centre
 
@@ -212,7 +213,7 @@
 def _word_of(heartbeat: Heartbeat, service: str, home: str) -> CentreWord:
     asked = (heartbeat.asked_by_service or {}).get(service, _NOTHING_ASKED)
     load = heartbeat.load_by_service.get(service, 0)
-    return CentreWord(load, asked.rate, asked.lacking, hears=home in heartbeat.hears)
+    return CentreWord(load, asked.rate, asked.lacking, hears=home not in heartbeat.unheard)
 
 
 def _loads_at_home(state: RoutingState, services: list[str]) -> dict[str, float]:
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -91,8 +91,9 @@
     upstreams left unanswered, by their short numbers.  `evacuated` says what it knows of
     evacuations: all of it, so that nobody has to ask.  `others` are peers that it knows.
     `asked_by_service` says what its callers ask of services whose demand is controlled, or to
-    other data centres those of all its data centre; None if it does not know yet.  `hears` names
-    the data centres that it has heard of late.
+    other data centres those of all its data centre; None if it does not know yet.  `hears` tells
+    neighbours which data centres it has heard of late, `unheard` tells other data centres which
+    ones nobody in its own hears any more.
     """
 
     __slots__ = (
@@ -111,6 +112,7 @@
         'stopping',
         'text_order',
         'unanswered_by_number',
+        'unheard',
         'upstreams_revision',
     )
 
@@ -130,6 +132,7 @@
         unanswered_by_number: Mapping[int, int] = _NOBODY,
         asked_by_service: Mapping[str, Asked] | None = None,
         hears: tuple[str, ...] = (),
+        unheard: tuple[str, ...] = (),
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -148,6 +151,7 @@
         self.unanswered_by_number = unanswered_by_number
         self.asked_by_service = asked_by_service
         self.hears = hears
+        self.unheard = unheard
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -9,7 +9,7 @@
 refused beside idle upstreams elsewhere, and by bytes between data centres in calm seconds.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from bronzekeel.core.routing.asked_meter import AskedMeter
 from bronzekeel.core.routing.balance import LEAST_RATE, shares_of
@@ -21,6 +21,7 @@
     LOAD_WITHOUT_ROOM,
     claims_of,
 )
+from bronzekeel.core.routing.peers import FORGET_S
 from bronzekeel.core.routing.pools import REQUESTS_A_SLOT
 from bronzekeel.core.routing.room_news import RoomNews
 
@@ -106,6 +107,7 @@
         'reckoned_shares',
         'room',
         'shares',
+        'unheard',
     )
 
     def __init__(self) -> None:
@@ -117,6 +119,7 @@
         self.far_news: RoomNews[str] = RoomNews(LOAD_CHANGE, 0)
         self.room = SharedRoom()
         self.shares = CrowdShares()
+        self.unheard = UnheardCentres()
         self.reckoned_shares: tuple[FlowShare, ...] = ()
 
     def is_full(self, service: str) -> bool:
@@ -161,6 +164,30 @@
         return shares
 
 
+class UnheardCentres:
+    """Hold the `names` of data centres that were heard lately and are not any more.
+
+    One that has not been heard yet is no such one: after a start the way there is likely whole.
+    """
+
+    __slots__ = ('_heard_at_by_centre', 'names')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.names: set[str] = set()
+        self._heard_at_by_centre: dict[str, float] = {}
+
+    def note(self, heard: Iterable[str], now: float) -> None:
+        """Take the data centres that some host of the own one hears `now`."""
+        for centre in heard:
+            self._heard_at_by_centre[centre] = now
+        self.names = {
+            centre
+            for centre, heard_at in self._heard_at_by_centre.items()
+            if heard_at < now < heard_at + FORGET_S
+        }
+
+
 class SharedRoom:
     """Reckon the allowances of the own data centre with hysteresis."""
 
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -98,6 +98,18 @@
     for name, kind, helping, figure in _POOL_METRICS:
         samples = {pool.service: figure(pool) for pool in pools}
         page.add(f'bronzekeel_{name}', kind, helping, samples)
+    page.add(
+        'bronzekeel_flows_sent_elsewhere_total',
+        'counter',
+        'Flows sent to other data centres where demand is controlled, by reason.',
+        {**state.demand.moving.departures.flows_by_reason},
+    )
+    page.add(
+        'bronzekeel_requests_allowed_elsewhere',
+        'gauge',
+        'Requests that may be in progress in other data centres, for flows without room at home.',
+        _allowed_elsewhere(state),
+    )
     page.add_histogram(
         'bronzekeel_answer_seconds',
         'From the last bytes of a request to the acknowledgement of its answer.',
@@ -106,6 +118,15 @@
     return page.encode()
 
 
+def _allowed_elsewhere(state: RoutingState) -> dict[str, float]:
+    """Return the allowances in force of this balancer, by service."""
+    allowed_by_service: dict[str, float] = {}
+    home = state.peers.me.data_centre
+    for (service, _), pool in state.directory.pools_elsewhere(home).items():
+        allowed_by_service[service] = allowed_by_service.get(service, 0) + pool.allowance
+    return {service: round(allowed, 2) for service, allowed in allowed_by_service.items()}
+
+
 def _gauges(state: RoutingState, now: float) -> dict[str, float]:
     return {
         'ready': int(state.ready),
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -82,6 +82,8 @@
     'started_ms',
     'usable',
 )
+#: Fields that list data centres, left out while they are empty.
+_CENTRES = ('hears', 'unheard')
 _FLAGS = ('direct', 'lost', 'stopping')
 
 
@@ -137,7 +139,8 @@
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
             asked_by_service=_asked_in(fields.get('asked')),
-            hears=tuple(label('hears', centre) for centre in fields.get('hears', ())),
+            hears=_centres_in('hears', fields.get('hears', ())),
+            unheard=_centres_in('unheard', fields.get('unheard', ())),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -253,11 +256,16 @@
             (service, round(asked.rate), asked.lacking)
             for service, asked in heartbeat.asked_by_service.items()
         ]
-    if heartbeat.hears:
-        fields['hears'] = heartbeat.hears
+    for name in _CENTRES:
+        if getattr(heartbeat, name):
+            fields[name] = getattr(heartbeat, name)
     return fields
 
 
+def _centres_in(name: str, listed: list[Any]) -> tuple[str, ...]:
+    return tuple(label(name, centre) for centre in listed)
+
+
 def _asked_in(listed: list[Any] | None) -> dict[str, Asked] | None:
     if listed is None:
         return None
