--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -11,7 +11,7 @@
 from bronzekeel.core.routing.messages import Allowance, Asked, FlowShare, Heartbeat
 from bronzekeel.core.routing.moving_load import ROOM_WORD_S, CentreWord, LevelKey
 from bronzekeel.core.routing.peers import Peer
-from bronzekeel.core.routing.relays import RELAY_S
+from bronzekeel.core.routing.relays import STRAINED_RELAY_S
 from bronzekeel.core.routing.state import RoutingState
 
 
@@ -31,7 +31,7 @@
     requests_by_service = state.flows.requests_by_service
     if moving.asked.look(services, requests_by_service, state.directory, now):
         moving.load_by_service = _loads_at_home(state, services)
-        moving.far_news.note(moving.load_by_service, now)
+        moving.far_news.note(moving.full_services(), now)
         moving.unheard.note(centres_heard(state, now), now)
     moving.near_news.note(_near_levels(state, services), now)
     return moving.departures.look(now)
@@ -51,7 +51,8 @@
         return True
     if not state.demand.moving.asked.by_service:
         return False
-    return now < state.demand.moving.far_news.changed_at + RELAY_S or is_centre_lacking(state, now)
+    hurried_until = state.demand.moving.far_news.changed_at + 2 * STRAINED_RELAY_S
+    return now < hurried_until or is_centre_lacking(state, now)
 
 
 def adopt_shares(state: RoutingState, shares: tuple[FlowShare, ...]) -> None:
@@ -101,7 +102,7 @@
 def _shares_near(state: RoutingState, now: float) -> tuple[FlowShare, ...]:
     """Return the shares of the neighbour that hears most, unless its word is old."""
     told: tuple[FlowShare, ...] = ()
-    most = (0, 0.0)
+    most: tuple[int, float] = (0, 0)
     for peer in _told_lately(state, now):
         if peer.heartbeat is None or peer.heartbeat.shares is None:
             continue
@@ -217,7 +218,6 @@
 
 
 def _loads_at_home(state: RoutingState, services: list[str]) -> dict[str, float]:
-    """Return the load at home of each service."""
     home = state.peers.me.data_centre
     return {service: load_at(state.directory, home, service) for service in services}
 
--- a/src/bronzekeel/core/routing/load_words.py
+++ b/src/bronzekeel/core/routing/load_words.py
@@ -9,6 +9,10 @@
 #: Services of which is told what is asked, at most.  Source: that of rates in heartbeats.
 MOST_ASKED = 8
 
+#: Share of a second's requests that must lack room for a data centre to lack it.  Source: fewer
+#: wait by chance at single hosts while others have room.
+LACKING_SHARE = 0.05
+
 
 def controlled_services(state: RoutingState) -> list[str]:
     """Return the services with upstreams whose demand is controlled."""
@@ -45,7 +49,7 @@
 def is_centre_lacking(state: RoutingState, now: float) -> bool:
     """Whether callers of this data centre lack room of a service whose demand is controlled."""
     asked = asked_of_centre(state, now) or {}
-    return any(one.lacking for one in asked.values())
+    return any(one.lacking > one.rate * LACKING_SHARE for one in asked.values())
 
 
 def centres_heard_here(state: RoutingState, now: float) -> tuple[str, ...]:
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -57,10 +57,6 @@
 #: and it is full again.  Source: the time in which all hosts hear of a change.
 RISE_S = 1.0
 
-#: Change of requests in progress a slot that other data centres are told early.  Source: a
-#: third of the room that an idle data centre would still have at its usual load.
-LOAD_CHANGE = 0.25
-
 #: Requests, and the share of them, by which room must change to be told to neighbours early.
 ROOM_CHANGE = 1.0
 ROOM_CHANGE_SHARE = 0.25
@@ -99,6 +95,7 @@
     """
 
     __slots__ = (
+        '_full',
         'asked',
         'departures',
         'far_news',
@@ -114,9 +111,10 @@
         """Start knowing nothing."""
         self.asked = AskedMeter()
         self.load_by_service: dict[str, float] = {}
+        self._full: dict[str, float] = {}
         self.departures = Departures()
         self.near_news: RoomNews[LevelKey] = RoomNews(ROOM_CHANGE, ROOM_CHANGE_SHARE)
-        self.far_news: RoomNews[str] = RoomNews(LOAD_CHANGE, 0)
+        self.far_news: RoomNews[str] = RoomNews(1, 0)
         self.room = SharedRoom()
         self.shares = CrowdShares()
         self.unheard = UnheardCentres()
@@ -126,6 +124,18 @@
         """Whether the own data centre lacks room for a service."""
         return self.load_by_service.get(service, 0) >= LOAD_WITHOUT_ROOM
 
+    def full_services(self) -> dict[str, float]:
+        """Return the services for which the own data centre lacks room, each with a one.
+
+        One that lacked it is left out when it has some again, as others reckon it.
+        """
+        for service, load in self.load_by_service.items():
+            if load >= LOAD_WITHOUT_ROOM:
+                self._full[service] = 1
+            elif load < LOAD_REGAINED:
+                self._full.pop(service, None)
+        return self._full
+
 
 class CrowdShares:
     """Reckon which share of the flows at home goes elsewhere, with hysteresis."""
@@ -182,8 +192,8 @@
         for centre in heard:
             self._heard_at_by_centre[centre] = now
         self.names = {
-            centre
-            for centre, heard_at in self._heard_at_by_centre.items()
+            name
+            for name, heard_at in self._heard_at_by_centre.items()
             if heard_at < now < heard_at + FORGET_S
         }
 
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -179,7 +179,7 @@
         route: Route,
         now: float,
     ) -> Upstream | None:
-        """Return an upstream elsewhere for a flow that would wait at home, None if it is to wait."""
+        """Return an upstream elsewhere for a flow that finds no room, None if it is to wait."""
         service = candidates[0].entry.service
         if self._state.controls_demand(service) and not self._may_cross(service, route):
             return None
--- /dev/null
+++ b/src/bronzekeel/entry/load_fields.py
@@ -0,0 +1,49 @@
+"""Write and read what balancers tell each other of load that moves.
+
+The fields are left out where they have nothing to tell: a former version sends none of them.
+"""
+
+from typing import Any
+
+from bronzekeel.core.routing.field_checks import label
+from bronzekeel.core.routing.messages import Asked, Heartbeat
+
+
+#: Fields that list data centres.
+_CENTRES = ('hears', 'unheard')
+
+_ENDLESS = float('inf')
+
+
+def encode_load(heartbeat: Heartbeat) -> dict[str, Any]:
+    """Return the fields of a heartbeat that tell of load that moves."""
+    fields: dict[str, Any] = {}
+    if heartbeat.asked_by_service is not None:
+        fields['asked'] = [
+            (service, round(asked.rate), asked.lacking)
+            for service, asked in heartbeat.asked_by_service.items()
+        ]
+    for name in _CENTRES:
+        centres = getattr(heartbeat, name)
+        if centres:
+            fields[name] = centres
+    return fields
+
+
+def decode_asked(listed: list[Any] | None) -> dict[str, Asked] | None:
+    """Return what is asked by service, None if it was not told."""
+    if listed is None:
+        return None
+    return {str(service): _asked_in(rate, lacking) for service, rate, lacking in listed}
+
+
+def decode_centres(name: str, listed: list[Any]) -> tuple[str, ...]:
+    """Return the data centres that the field `name` lists."""
+    return tuple(label(name, centre) for centre in listed)
+
+
+def _asked_in(rate: Any, lacking: Any) -> Asked:
+    asked = Asked(float(rate), int(lacking))
+    if not 0 <= asked.rate < _ENDLESS or asked.lacking < 0:
+        raise ValueError(f'{rate} and {lacking} are no figures to reckon with')
+    return asked
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -122,9 +122,10 @@
     """Return the allowances in force of this balancer, by service."""
     allowed_by_service: dict[str, float] = {}
     home = state.peers.me.data_centre
-    for (service, _), pool in state.directory.pools_elsewhere(home).items():
-        allowed_by_service[service] = allowed_by_service.get(service, 0) + pool.allowance
-    return {service: round(allowed, 2) for service, allowed in allowed_by_service.items()}
+    for pool in state.directory.pools_elsewhere(home).values():
+        allowed = allowed_by_service.get(pool.service, 0) + pool.allowance
+        allowed_by_service[pool.service] = round(allowed, 2)
+    return allowed_by_service
 
 
 def _gauges(state: RoutingState, now: float) -> dict[str, float]:
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -22,7 +22,6 @@
 )
 from bronzekeel.core.routing.messages import (
     Allowance,
-    Asked,
     Evacuated,
     FlowShare,
     Heartbeat,
@@ -31,6 +30,7 @@
     View,
 )
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.entry.load_fields import decode_asked, decode_centres, encode_load
 from bronzekeel.entry.revision_fields import (
     decode_revision,
     decode_text_order,
@@ -82,8 +82,6 @@
     'started_ms',
     'usable',
 )
-#: Fields that list data centres, left out while they are empty.
-_CENTRES = ('hears', 'unheard')
 _FLAGS = ('direct', 'lost', 'stopping')
 
 
@@ -114,7 +112,7 @@
             ),
             'room': None if heartbeat.allowances is None else _room_out(heartbeat.allowances),
             'flags': [getattr(heartbeat, flag) for flag in _FLAGS],
-            **_moving_out(heartbeat),
+            **encode_load(heartbeat),
         },
     )
 
@@ -138,9 +136,9 @@
             unanswered_by_number={
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
-            asked_by_service=_asked_in(fields.get('asked')),
-            hears=_centres_in('hears', fields.get('hears', ())),
-            unheard=_centres_in('unheard', fields.get('unheard', ())),
+            asked_by_service=decode_asked(fields.get('asked')),
+            hears=decode_centres('hears', fields.get('hears', ())),
+            unheard=decode_centres('unheard', fields.get('unheard', ())),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
@@ -248,33 +246,6 @@
     )
 
 
-def _moving_out(heartbeat: Heartbeat) -> dict[str, Any]:
-    """Return the fields that only balancers with controlled demand send."""
-    fields: dict[str, Any] = {}
-    if heartbeat.asked_by_service is not None:
-        fields['asked'] = [
-            (service, round(asked.rate), asked.lacking)
-            for service, asked in heartbeat.asked_by_service.items()
-        ]
-    for name in _CENTRES:
-        if getattr(heartbeat, name):
-            fields[name] = getattr(heartbeat, name)
-    return fields
-
-
-def _centres_in(name: str, listed: list[Any]) -> tuple[str, ...]:
-    return tuple(label(name, centre) for centre in listed)
-
-
-def _asked_in(listed: list[Any] | None) -> dict[str, Asked] | None:
-    if listed is None:
-        return None
-    return {
-        str(service): Asked(_figure_in(rate), int(_figure_in(lacking)))
-        for service, rate, lacking in listed
-    }
-
-
 def _evacuated_in(as_of: list[Any], centres: list[Any]) -> Evacuated:
     names = frozenset(label('evacuated', centre) for centre in centres)
     return Evacuated(decode_revision(*as_of), names)
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -115,7 +115,8 @@
     ) -> None:
         """Set up balancers by data centre; ``start`` starts them.
 
-        Heartbeats are lost between `cut_centres` and others, and on `lost_ways` from one to another.
+        Heartbeats are lost between `cut_centres` and others, and on `lost_ways`, each from one to
+        another.
         """
         super().__init__(seed)
         self._policies = policies or FleetPolicies()
--- a/tests/test_moving_load.py
+++ b/tests/test_moving_load.py
@@ -4,6 +4,7 @@
 from functools import partial
 from itertools import pairwise
 from math import pi, sin
+from types import MappingProxyType
 from unittest import TestCase
 
 from bronzekeel.core.log_numbers import LogNumber
@@ -29,7 +30,7 @@
 from bronzekeel.core.routing.peers import HEARTBEAT_S
 from bronzekeel.core.routing.relays import RELAY_S
 from bronzekeel.core.routing.room_news import NEWS_S, RoomNews
-from bronzekeel.entry.peer_messages import decode_heartbeat, encode_heartbeat
+from bronzekeel.entry.peer_messages import MessageError, decode_heartbeat, encode_heartbeat
 from bronzekeel.replay.flow_load import CENTRES, SINGLE, FlowLoad
 from bronzekeel.replay.load_callers import RequestKind
 from bronzekeel.replay.routing_fleet import FleetPolicies, RoutingNode
@@ -102,7 +103,7 @@
     begins_s = 6.0
     ends_s = 11.0
 
-    def test_flows_leave_within_a_second_and_no_longer_than_the_crowd(self) -> None:
+    def test_flows_leave_soon_and_no_longer_than_the_crowd(self) -> None:
         """Guards against flows that are sent away for seconds after a crowd is over."""
         load = _load((self._crowd, _usual, _usual), 16)
         load.fleet.run(18)
@@ -131,7 +132,7 @@
 class LargeDataCentreTest(TestCase):
     """Twenty hosts, whose ordinary heartbeats go every 0.8 seconds."""
 
-    def test_all_hosts_elsewhere_hear_within_a_second_that_room_has_ended(self) -> None:
+    def test_all_hosts_hear_within_a_second_that_room_ended(self) -> None:
         """Guards against word that takes two seconds, where a crowd lasts three."""
         load = _load((_usual, _usual, _usual), 1, hosts=20)
         load.fleet.run(_FOUND_S)
@@ -183,7 +184,7 @@
 def _net_by_second(load: FlowLoad, centre: str, lasting_s: int) -> list[bool]:
     """Return whether a data centre sent more flows than it got, for seconds in which it did any."""
     began_at = load.fleet.now - load.elapsed_s
-    net = [0] * (lasting_s + 2)
+    net = [0 for _ in range(lasting_s + 2)]
     for at, home, there in load.callers.crossed:
         net[int(at - began_at)] += (home == centre) - (there == centre)
     return [flows > 0 for flows in net if flows]
@@ -252,7 +253,7 @@
         self.assertEqual(0, max(_room(load, 'dc-a', 'dc-b')))
         self.assertGreater(min(_room(load, 'dc-b', 'dc-c')), 0)
 
-    def test_an_evacuated_data_centre_gets_nothing_and_sends_all(self) -> None:
+    def test_an_evacuated_data_centre_sends_all(self) -> None:
         """Guards against flows that a crowd brings into a data centre that people work on."""
         load = _load((partial(_always, 0.9), _usual, _usual), 14)
         load.fleet.run(5)
@@ -355,17 +356,17 @@
         self.assertEqual([False, True, True, False], held)
 
     def _allowance(self, now: float, word: CentreWord) -> float:
-        (told,) = self.room.allowances_of(PORTAL, 'a', 50, {'b': word}, _NINE_EACH, now)
-        return told.requests
+        told = self.room.allowances_of(PORTAL, 'a', 50, {'b': word}, _NINE_EACH, now)
+        return told[0].requests
 
 
-_NINE_EACH = {'a': 9, 'b': 9, 'c': 9}
+_NINE_EACH = MappingProxyType({'a': 9, 'b': 9, 'c': 9})
 
 
 class CrowdSharesTest(TestCase):
     """Which share of new flows leaves."""
 
-    def test_a_crowd_lasts_until_home_is_asked_for_little_more_than_its_part(self) -> None:
+    def test_a_crowd_lasts_until_little_more_is_asked(self) -> None:
         """Guards against shares that come and go with the chance of a second."""
         sent = self._sent(60, 500, 500, 180, 90)
         self.assertEqual([False, False, True, True, False], sent)
@@ -460,6 +461,18 @@
         self.assertIsNone(former.asked_by_service)
         self.assertEqual(((), ()), (former.hears, former.unheard))
 
+    def test_unreadable_fields_are_refused(self) -> None:
+        """Guards against a peer's nonsense that is reckoned with."""
+        me = PeerAddress('a1', 'dc-a', ('a1', 9))
+        raw = encode_heartbeat(Heartbeat(me, 1, 1, {}, asked_by_service={}))
+        for asked in ('5', '[["portal",-1,0]]', '[["portal",1e999,0]]', '[["portal",1,-1]]'):
+            broken = raw.replace(b'"asked":[]', f'"asked":{asked}'.encode())
+            self.assertNotEqual(raw, broken)
+            with self.assertRaises(MessageError):
+                decode_heartbeat(broken)
+        with self.assertRaises(MessageError):
+            decode_heartbeat(raw.replace(b'"asked":[]', b'"hears":[5,null]'))
+
     def test_a_service_that_is_not_covered_adds_nothing(self) -> None:
         """Guards against bytes and decisions for services whose demand is not controlled."""
         state = ready_state(entry(1))
