--- a/src/bronzekeel/core/routing/balance.py
+++ b/src/bronzekeel/core/routing/balance.py
@@ -131,6 +131,10 @@
                 return centre
         return None
 
+    def sends_away(self, service: str) -> bool:
+        """Whether a share of a service's new flows goes elsewhere."""
+        return bool(self._shares_by_service.get(service))
+
     def note_placed(self, service: str, centre: str) -> None:
         """Note where a flow was placed."""
         placed = self._placed_by_service.setdefault(service, {})
--- a/src/bronzekeel/core/routing/departures.py
+++ b/src/bronzekeel/core/routing/departures.py
@@ -16,6 +16,7 @@
 
     NO_ROOM = 'no_room'
     ELSE_REFUSED = 'else_refused'
+    CROWD = 'crowd'
     NO_UPSTREAM = 'no_upstream'
 
 
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -150,7 +150,9 @@
                 return Wait()
             if elsewhere is not None:
                 return self._place(packet, elsewhere, route, text, now, Departure.NO_ROOM)
-        return self._place(packet, upstream, route, text, now, Departure.NO_UPSTREAM)
+        crowded = self._state.balance.sends_away(service)
+        departure = Departure.CROWD if crowded else Departure.NO_UPSTREAM
+        return self._place(packet, upstream, route, text, now, departure)
 
     def _place(
         self,
