--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -51,7 +51,7 @@
         return True
     if not state.demand.moving.asked.by_service:
         return False
-    hurried_until = state.demand.moving.far_news.changed_at + 2 * STRAINED_RELAY_S
+    hurried_until = state.demand.moving.far_news.changed_at + STRAINED_RELAY_S
     return now < hurried_until or is_centre_lacking(state, now)
 
 
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -49,6 +49,11 @@
 #: Requests in progress a slot from which a crowd counts: one slot in five is still free.
 LOAD_CROWDED = 0.8
 
+#: Requests in progress a slot from which other data centres are told early that there is no room.
+#: Source: at the usual load of nine slots chance goes beyond it seldom, and each early word costs
+#: bytes between data centres.
+LOAD_TOLD_FULL = 1.25
+
 #: How many times its own slots a data centre must lack to go on claiming others'.
 CLAIM_KEPT_FACTOR = 0.5
 
@@ -130,7 +135,7 @@
         One that lacked it is left out when it has some again, as others reckon it.
         """
         for service, load in self.load_by_service.items():
-            if load >= LOAD_WITHOUT_ROOM:
+            if load >= LOAD_TOLD_FULL:
                 self._full[service] = 1
             elif load < LOAD_REGAINED:
                 self._full.pop(service, None)
--- a/tests/test_moving_load.py
+++ b/tests/test_moving_load.py
@@ -14,7 +14,7 @@
 from bronzekeel.core.routing.moving_load import (
     ROOM_WORD_S,
 )
-from bronzekeel.core.routing.relays import RELAY_S
+from bronzekeel.core.routing.relays import RELAY_S, RELAYS
 from bronzekeel.replay.flow_load import CENTRES, SINGLE, FlowLoad
 from bronzekeel.replay.load_callers import RequestKind
 from bronzekeel.replay.routing_fleet import FleetPolicies, RoutingNode
@@ -129,11 +129,13 @@
 
 
 def _make_busy(load: FlowLoad, centre: str, requests: int) -> None:
-    """Let each host of a data centre see some more requests in progress there."""
+    """Let hosts see more requests in progress in their data centre, and some wait but at relays."""
     for node in _nodes(load, centre):
         upstreams = node.state.directory.of_service('portal')
         upstream = next(one for one in upstreams if one.entry.data_centre == centre)
         upstream.busy_flows += requests
+        if _before(node, load.fleet.now) >= RELAYS:
+            upstream.pool.waiting += requests
 
 
 class WavesTest(TestCase):
