Let flows without a home cross whatever they carry

Cause: a long flow of an evacuated data centre waited for the one that placement chose, though a third one had room. A test brings it about; it failed before.

--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -145,7 +145,7 @@
         if upstream is None:
             return self._without_upstream(packet, now)
         if may_wait and not upstream.pool.has_room:
-            elsewhere = self._at_once_elsewhere(candidates, route, now)
+            elsewhere = self._instead_of_waiting(upstream, candidates, route, now)
             if elsewhere is None and self._waits(packet, upstream.pool, route, now):
                 return Wait()
             if elsewhere is not None:
@@ -175,23 +175,28 @@
         if self._state.controls_demand(service):
             self._state.demand.moving.departures.note(service, departure, now)
 
-    def _at_once_elsewhere(
+    def _instead_of_waiting(
         self,
+        upstream: Upstream,
         candidates: list[Upstream],
         route: Route,
         now: float,
     ) -> Upstream | None:
-        """Return an upstream elsewhere for a flow that finds no room, None if it is to wait."""
-        service = candidates[0].entry.service
-        if self._state.controls_demand(service) and not self._may_cross(service, route):
+        """Return an upstream elsewhere for a flow without room at `upstream`, None if it waits."""
+        if not self._may_cross(upstream, route):
             return None
         return self._with_room_elsewhere(candidates, now)
 
-    def _may_cross(self, service: str, route: Route) -> bool:
+    def _may_cross(self, upstream: Upstream, route: Route) -> bool:
         """Whether a flow that finds no room at this host may go to another data centre.
 
-        A long flow crosses for all its life, so it goes only if the whole data centre lacks room.
+        Where demand is controlled, a long flow goes only if the whole data centre lacks room: it
+        crosses for all its life.  One that has no upstream at home crosses anyway.
         """
+        service = upstream.entry.service
+        crosses = upstream.entry.data_centre != self._state.peers.me.data_centre
+        if crosses or not self._state.controls_demand(service):
+            return True
         if self._state.flows.lengths.is_short(route.key):
             return True
         return self._state.demand.moving.is_full(service)
--- a/tests/test_room_elsewhere.py
+++ b/tests/test_room_elsewhere.py
@@ -243,6 +243,17 @@
         departures = self.state.demand.moving.departures
         self.assertEqual(1, departures.flows_by_reason[Departure.ELSE_REFUSED])
 
+    def test_a_flow_without_a_home_goes_wherever_there_is_room(self) -> None:
+        """Guards against callers of an evacuated data centre that wait for a full one."""
+        state = ready_state(entry(2, data_centre='dc-b'), entry(3, data_centre='dc-c'))
+        state.demand.control = DemandControl(DemandControlMode.ALWAYS)
+        pools = state.directory.pools_by_service[PORTAL]
+        pools['dc-b'].limit = 0
+        pools['dc-c'].limit = 0
+        pools['dc-c'].allowance = 1
+        verdict = steering(state).decide(opening(1), 0)
+        self.assertEqual(entry(3).name, delivered_to(verdict))
+
     def test_nobody_crosses_while_home_has_room(self) -> None:
         """Guards against bytes between data centres for flows that home can serve."""
         self.state.directory.pools_by_service[PORTAL]['dc-a'].limit = 9
