--- a/src/bronzekeel/core/routing/flow_lengths.py
+++ b/src/bronzekeel/core/routing/flow_lengths.py
@@ -19,6 +19,10 @@
 #: flows carry one or two.
 _LEAST_FLOWS = 10
 
+#: Routes that are counted at most; the one counted first makes room.  Source: twice a text of
+#: 2,000 routes, so that those of a former text do not push out those in force.
+MOST_ROUTES = 4_000
+
 
 class _Counted:
     __slots__ = ('openings', 'requests')
@@ -60,6 +64,8 @@
         route = flow[-_ROUTE_BYTES:]
         counted = self._counted_by_route.get(route)
         if counted is None:
+            if len(self._counted_by_route) >= MOST_ROUTES:
+                self._counted_by_route.pop(next(iter(self._counted_by_route)))
             counted = _Counted()
             self._counted_by_route[route] = counted
         return counted
