Merge load that moves between data centres

Demand is controlled by text, so its parts act for all services of a text or for none. A flow that finds no room looks elsewhere, then at sibling services; words on callers have a module of their own.

--- a/src/bronzekeel/core/routing/heartbeats.py
+++ b/src/bronzekeel/core/routing/heartbeats.py
@@ -6,6 +6,12 @@
 from bronzekeel.core.routing.answer_counts import ToldCounts
 from bronzekeel.core.routing.balance import load_at
 from bronzekeel.core.routing.balancing import rates_of_centre
+from bronzekeel.core.routing.load_moves import told_shares
+from bronzekeel.core.routing.load_words import (
+    asked_here,
+    asked_of_centre,
+    centres_heard_here,
+)
 from bronzekeel.core.routing.messages import Evacuated, Heartbeat, PeerAddress
 from bronzekeel.core.routing.silence import silent_upstreams
 from bronzekeel.core.routing.state import RoutingState
@@ -57,6 +63,8 @@
             for service in rate_by_service
         },
         evacuated=_told_evacuated(state),
+        asked_by_service=asked_of_centre(state, now),
+        unheard=tuple(sorted(state.demand.moving.unheard.names)),
         direct=state.is_direct(now),
         lost=state.is_lost,
         stopping=state.stopping.asked,
@@ -81,7 +89,7 @@
         _largest(busy_by_number, MOST_LOADS),
         state.peers.some_others(state.peers.me.data_centre, now),
         _largest(state.balance.meter.by_service, MOST_RATES),
-        state.balance.shares if state.balance.reckons else None,
+        told_shares(state),
         allowances=state.room.allowances if state.room.reckons else None,
         unanswered_by_number=silent_upstreams(state, now),
         callers_by_service=state.demand.callers.words(
@@ -89,6 +97,8 @@
             now,
         ),
         counts=counts,
+        asked_by_service=asked_here(state),
+        hears=centres_heard_here(state, now),
         evacuated=_told_evacuated(state),
         direct=state.is_direct(now),
         lost=state.is_lost,
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -37,6 +37,17 @@
         self.requests = requests
 
 
+class Asked:
+    """Say what callers ask of a service: requests a second, and how many `lacking` room."""
+
+    __slots__ = ('lacking', 'rate')
+
+    def __init__(self, rate: float, lacking: int) -> None:
+        """Keep the `rate`; `lacking` counts those that wait or were refused in the last second."""
+        self.rate = rate
+        self.lacking = lacking
+
+
 class Evacuated:
     """Name the data centres that operators have evacuated.
 
@@ -84,15 +95,21 @@
     evacuations: all of it, so that nobody has to ask.  `callers_by_service` says what callers of
     services that are short asked for and were given.  `counts` are the answers that its sender saw
     since it last told neighbours, None if there is none.  `others` are peers that it knows.
+    `asked_by_service` says what its callers ask of services whose demand is controlled, or to
+    other data centres those of all its data centre; None if it does not know yet.  `hears` tells
+    neighbours which data centres it has heard of late, `unheard` tells other data centres which
+    ones nobody in its own hears any more.
     """
 
     __slots__ = (
         'allowances',
+        'asked_by_service',
         'busy_by_number',
         'callers_by_service',
         'counts',
         'direct',
         'evacuated',
+        'hears',
         'load_by_service',
         'lost',
         'others',
@@ -102,6 +119,7 @@
         'stopping',
         'text_order',
         'unanswered_by_number',
+        'unheard',
         'upstreams_revision',
     )
 
@@ -121,6 +139,9 @@
         unanswered_by_number: Mapping[int, int] = _NOBODY,
         callers_by_service: Mapping[str, CallersWord] = _NO_WORDS,
         counts: ToldCounts | None = None,
+        asked_by_service: Mapping[str, Asked] | None = None,
+        hears: tuple[str, ...] = (),
+        unheard: tuple[str, ...] = (),
         direct: bool = False,
         lost: bool = False,
         stopping: bool = False,
@@ -139,6 +160,9 @@
         self.unanswered_by_number = unanswered_by_number
         self.callers_by_service = callers_by_service
         self.counts = counts
+        self.asked_by_service = asked_by_service
+        self.hears = hears
+        self.unheard = unheard
         self.direct = direct
         self.lost = lost
         self.stopping = stopping
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -30,6 +30,7 @@
     ViewFetched,
 )
 from bronzekeel.core.routing.learning import learn_capacities
+from bronzekeel.core.routing.load_moves import look_at_load
 from bronzekeel.core.routing.sharing import (
     announce_change,
     ask_elsewhere,
@@ -126,20 +127,27 @@
     effects.extend(end_evacuations(state, now))
     state.peers.forget_silent(now)
     state.shared_loads.note(state.directory, state.peers.busy_elsewhere(now))
-    effects.extend(learn_capacities(state, now))
+    effects.extend(_reckon_load(state, now))
+    effects.extend(follow_on(state, now))
+    effects.extend(ask_elsewhere(state, now))
+    effects.extend(beat(state, now))
+    if state.stopping.is_done(now):
+        effects.append(WriteLine(LogNumber.STOPPED, refusals=state.stopping.refusals))
+        effects.append(End())
+    return effects
+
+
+def _reckon_load(state: RoutingState, now: float) -> list[Effect]:
+    """Reckon capacities, where flows go, how many requests may begin, and callers' shares."""
+    effects = learn_capacities(state, now)
     reckon_balance(state, now)
     reckon_room(state, now)
+    effects.extend(look_at_load(state, now))
     state.admission.reckon(now)
     pools = state.directory.pools_of(state.peers.me.data_centre)
     effects.extend(state.overloads.look(pools, now))
     callers = state.demand.callers
     effects.extend(callers.look(pools, state.peers, now, controlled=state.controls_demand))
-    effects.extend(follow_on(state, now))
-    effects.extend(ask_elsewhere(state, now))
-    effects.extend(beat(state, now))
-    if state.stopping.is_done(now):
-        effects.append(WriteLine(LogNumber.STOPPED, refusals=state.stopping.refusals))
-        effects.append(End())
     return effects
 
 
--- a/src/bronzekeel/core/routing/sharing.py
+++ b/src/bronzekeel/core/routing/sharing.py
@@ -16,6 +16,7 @@
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.heartbeats import answer_to, far_heartbeat, near_heartbeat
 from bronzekeel.core.routing.learning import take_counts
+from bronzekeel.core.routing.load_moves import hasten_room, is_hurried
 from bronzekeel.core.routing.messages import Heartbeat, Known, MissingEntry, PeerAddress, View
 from bronzekeel.core.routing.readiness import become_ready
 from bronzekeel.core.routing.model import UpstreamEntry
@@ -53,7 +54,8 @@
 def beat(state: RoutingState, now: float) -> list[Effect]:
     """Send the heartbeats that are due."""
     effects: list[Effect] = []
-    if state.flows.silent_at > state.peers.told_at:
+    news_at = max(state.flows.silent_at, state.demand.moving.near_news.changed_at)
+    if news_at > state.peers.told_at:
         state.peers.beat_soon()
     near = state.peers.due_neighbours(now)
     if near:
@@ -64,7 +66,7 @@
         state.relays.due(
             now,
             direct=state.is_direct(now),
-            strained=state.directory.is_strained(state.peers.me.data_centre, now),
+            strained=is_hurried(state, now),
         )
     )
     if far:
@@ -94,6 +96,7 @@
     effects.extend(_take_evacuated(state, heartbeat, now))
     take_silent(state, heartbeat.unanswered_by_number, now)
     take_counts(state, heartbeat)
+    hasten_room(state, heartbeat)
     if joined:
         effects.append(WriteLine(LogNumber.MEMBER_JOINED, peer=sender.name))
     if joined or (state.text_order and not heartbeat.text_order):
--- a/src/bronzekeel/core/routing/siblings.py
+++ b/src/bronzekeel/core/routing/siblings.py
@@ -5,7 +5,9 @@
 callers are refused while the other service of the same route idles.
 """
 
-from bronzekeel.core.routing.model import Route
+from collections.abc import Iterable
+
+from bronzekeel.core.routing.model import Route, Upstream
 
 
 def siblings_of(route: Route, service: str) -> list[str]:
@@ -16,3 +18,14 @@
     others = [share for share in route.shares if share.service != service and share.weight > 0]
     others.sort(key=lambda share: -share.weight)
     return [share.service for share in others]
+
+
+def with_room(upstreams: Iterable[Upstream], data_centre: str, now: float) -> list[Upstream]:
+    """Return the upstreams of a data centre that answer and whose pool has room."""
+    return [
+        upstream
+        for upstream in upstreams
+        if upstream.entry.data_centre == data_centre
+        and upstream.pool.has_room
+        and now >= upstream.avoided_until
+    ]
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -6,6 +6,7 @@
 from bronzekeel.core.routing.connection_ids import opened, sealed
 from bronzekeel.core.routing.flows import Flow
 from bronzekeel.core.routing.decisions import Decision, DecisionLog
+from bronzekeel.core.routing.departures import Departure
 from bronzekeel.core.routing.model import (
     FlowPacket,
     Route,
@@ -15,7 +16,7 @@
 )
 from bronzekeel.core.routing.placement import Placement
 from bronzekeel.core.routing.pools import Pool
-from bronzekeel.core.routing.siblings import siblings_of
+from bronzekeel.core.routing.siblings import siblings_of, with_room
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.core.routing.verdicts import Deliver, Discard, Reason, Reset, Verdict, Wait
 from bronzekeel.core.routing.waiting import WaitingRequest
@@ -114,9 +115,12 @@
             yield packet, self._decide(packet, now, may_wait=False)
 
     def _refuse(self, packet: FlowPacket, request: WaitingRequest, now: float) -> Verdict:
-        """Refuse a flow that found no room, unless its repeat may have opened it elsewhere."""
+        """Refuse a flow that found no room here or elsewhere, unless its repeat may be open."""
         if not request.opens or now >= request.until + LATE_REFUSAL_S:
             return Discard(Reason.GIVEN_UP)
+        moved = self._instead_of_refusal(packet, now)
+        if moved is not None:
+            return moved
         return self._turn_away(packet, request.pool, Reason.OVERLOADED, now)
 
     def _turn_away(self, packet: FlowPacket, pool: Pool, reason: Reason, now: float) -> Verdict:
@@ -158,29 +162,91 @@
         *,
         may_wait: bool,
     ) -> Verdict:
-        flow = self._state.flows.find(packet.flow)
-        if flow is not None and flow.upstream is not None and _is_repeat(packet, flow, now):
-            if now < flow.opened_at + COPY_GAP_S or flow.answered:
-                return Deliver(flow.upstream, _id_of(flow.upstream, route))
-            self._state.flows.note_unanswered(flow, now)
+        repeated = self._repeat(packet, route, now)
+        if repeated is not None:
+            return repeated
         service = _pick(route.shares, packet.flow)
         candidates = self._state.eligibility.of_service(service, route, text, now)
         upstream = self._placement.choose(candidates, now)
         if upstream is None:
             return self._without_upstream(packet, now)
         if may_wait and not upstream.pool.has_room:
-            other = self._with_room_elsewhere(candidates, now)
-            if other is None:
-                other = self._with_room_at_sibling(route, service, text, now)
-            held = None if other else self._hold(packet, upstream.pool, route, now)
+            elsewhere = self._instead_of_waiting(upstream, candidates, route, now)
+            if elsewhere is not None:
+                return self._place(packet, elsewhere, route, text, now, Departure.NO_ROOM)
+            sibling = self._at_sibling(route, service, text, now)
+            held = None if sibling else self._hold(packet, upstream.pool, route, now)
             if held is not None:
                 return held
-            upstream = other or upstream
+            upstream = sibling or upstream
+        crowded = self._state.balance.sends_away(service)
+        departure = Departure.CROWD if crowded else Departure.NO_UPSTREAM
+        return self._place(packet, upstream, route, text, now, departure)
+
+    def _repeat(self, packet: FlowPacket, route: Route, now: float) -> Verdict | None:
+        """Send a repeated opening packet where the first went, None if it is to go elsewhere."""
+        flow = self._state.flows.find(packet.flow)
+        if flow is None or flow.upstream is None or not _is_repeat(packet, flow, now):
+            return None
+        if now < flow.opened_at + COPY_GAP_S or flow.answered:
+            return Deliver(flow.upstream, _id_of(flow.upstream, route))
+        self._state.flows.note_unanswered(flow, now)
+        return None
+
+    def _place(
+        self,
+        packet: FlowPacket,
+        upstream: Upstream,
+        route: Route,
+        text: RoutingText,
+        now: float,
+        departure: Departure,
+    ) -> Verdict:
+        """Open a flow at `upstream`; `departure` is why if that is in another data centre."""
         self._state.flows.place(packet.flow, upstream, now)
+        crosses = upstream.entry.data_centre != self._state.peers.me.data_centre
+        if crosses and self._state.controls_demand:
+            self._state.demand.moving.departures.note(upstream.entry.service, departure, now)
         self._state.eligibility.note_placed(upstream, text, now)
         self._decisions.note(Decision('placed', packet, upstream.entry.name, upstream), now)
         return Deliver(upstream, _id_of(upstream, route))
 
+    def _instead_of_waiting(
+        self,
+        upstream: Upstream,
+        candidates: list[Upstream],
+        route: Route,
+        now: float,
+    ) -> Upstream | None:
+        """Return an upstream elsewhere for a flow without room at `upstream`, None if it waits.
+
+        Where demand is controlled, a long flow goes only if the whole data centre lacks room: it
+        crosses for all its life.  One that has no upstream at home crosses anyway.
+        """
+        service = upstream.entry.service
+        may_cross = (
+            not self._state.controls_demand
+            or upstream.entry.data_centre != self._state.peers.me.data_centre
+            or self._state.flows.lengths.is_short(route.key)
+            or self._state.demand.moving.is_full(service)
+        )
+        return self._with_room_elsewhere(candidates, now) if may_cross else None
+
+    def _instead_of_refusal(self, packet: FlowPacket, now: float) -> Verdict | None:
+        """Open a flow elsewhere that waited at home in vain, None if nobody has room."""
+        text = self._state.text
+        route = text.route_by_key.get(packet.route) if text else None
+        if text is None or route is None:
+            return None
+        service = _pick(route.shares, packet.flow)
+        if not self._state.controls_demand:
+            return None
+        candidates = self._state.eligibility.of_service(service, route, text, now)
+        upstream = self._with_room_elsewhere(candidates, now)
+        if upstream is None:
+            return None
+        return self._place(packet, upstream, route, text, now, Departure.ELSE_REFUSED)
+
     def _with_room_elsewhere(self, candidates: list[Upstream], now: float) -> Upstream | None:
         """Return an upstream of another data centre that has room, None if none has."""
         there = [
@@ -190,7 +256,7 @@
         ]
         return self._placement.choose(there, now)
 
-    def _with_room_at_sibling(
+    def _at_sibling(
         self,
         route: Route,
         service: str,
@@ -198,18 +264,12 @@
         now: float,
     ) -> Upstream | None:
         """Return an upstream of another service of the route that has room, None if none has."""
-        home = self._state.peers.me.data_centre
         if not self._state.controls_demand:
             return None
+        home = self._state.peers.me.data_centre
         for sibling in siblings_of(route, service):
-            with_room = [
-                upstream
-                for upstream in self._state.eligibility.of_service(sibling, route, text, now)
-                if upstream.entry.data_centre == home
-                and upstream.pool.has_room
-                and now >= upstream.avoided_until
-            ]
-            chosen = self._placement.choose(with_room, now)
+            upstreams = self._state.eligibility.of_service(sibling, route, text, now)
+            chosen = self._placement.choose(with_room(upstreams, home, now), now)
             if chosen is not None:
                 return chosen
         return None
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -116,6 +116,18 @@
         'Speeds of upstreams that differ from the mean of their service.',
         _speeds(state.demand.capacities.learned_speeds),
     )
+    page.add(
+        'bronzekeel_flows_sent_elsewhere_total',
+        'counter',
+        'Flows sent to other data centres where demand is controlled, by reason.',
+        {**state.demand.moving.departures.flows_by_reason},
+    )
+    page.add(
+        'bronzekeel_requests_allowed_elsewhere',
+        'gauge',
+        'Requests that may be in progress in other data centres, for flows without room at home.',
+        _allowed_elsewhere(state),
+    )
     page.add_histogram(
         'bronzekeel_answer_seconds',
         'From the last bytes of a request to the acknowledgement of its answer.',
@@ -124,6 +136,16 @@
     return page.encode()
 
 
+def _allowed_elsewhere(state: RoutingState) -> dict[str, float]:
+    """Return the allowances in force of this balancer, by service."""
+    allowed_by_service: dict[str, float] = {}
+    home = state.peers.me.data_centre
+    for pool in state.directory.pools_elsewhere(home).values():
+        allowed = allowed_by_service.get(pool.service, 0) + pool.allowance
+        allowed_by_service[pool.service] = round(allowed, 2)
+    return allowed_by_service
+
+
 def _gauges(state: RoutingState, now: float) -> dict[str, float]:
     return {
         'ready': int(state.ready),
