Give replayed callers addresses and upstreams speeds, and let perfect sight know both

What a service's callers do one by one, and upstreams that work at unequal or changing speed, could not be replayed: flow keys were running numbers and every slot did the same. Each client has an address now, and single requests that of one of the clients; a kind states an objective, a tail and how many requests a flow carries. Callers can move.

Perfect sight takes the fastest free slot.

--- a/src/bronzekeel/bench/load_ceiling.py
+++ b/src/bronzekeel/bench/load_ceiling.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 from collections.abc import Iterable
-from heapq import heapify, heappop, heapreplace
 
 from bronzekeel.replay.load_callers import RequestKind, Tally
+from bronzekeel.replay.load_servers import Slot
 
 
 class _Asked:
@@ -23,24 +23,37 @@
         return self.kind.worth / self.work_s
 
 
+class _FreeSlot:
+    """Hold when a slot is free again."""
+
+    __slots__ = ('_slot', 'ends_s', 'free_at')
+
+    def __init__(self, slot: Slot) -> None:
+        self._slot = slot
+        self.ends_s = slot.ends_s
+        self.free_at = max(slot.begins_s, 0)
+
+    def speed_at(self, now: float) -> float:
+        return self._slot.speed_at(now)
+
+
 class PerfectSight:
     """Serve all requests from one queue that sees every slot at once.
 
     It knows how long each request takes: of those that can still be in time the one with the
-    most worth a second of work goes first, late ones when there is no other.  `slots` are
-    pairs of when a slot begins and ceases to be there; `way_s` is the time from a caller to an
-    upstream and back.  What is asked while balancers are `dark` waits for their return.
+    most worth a second of work goes first, late ones when there is no other.  Of the slots that
+    are free the fastest takes it.  `way_s` is the time from a caller to an upstream and back.
+    What is asked while balancers are `dark` waits for their return.
     """
 
     def __init__(
         self,
-        slots: Iterable[tuple[float, float]],
+        slots: Iterable[Slot],
         way_s: float,
         dark: tuple[float, float],
     ) -> None:
         """Start with nothing asked."""
-        self._free_at = [(max(begins, 0), ends) for begins, ends in slots]
-        heapify(self._free_at)
+        self._slots = [_FreeSlot(slot) for slot in slots]
         self._way_s = way_s
         self._dark = dark
         self._waiting: list[_Asked] = []
@@ -49,21 +62,28 @@
         """Return the worth that is earned of all that was asked."""
         asked = deque(sorted(_asked_of(tallies), key=self._comes_at))
         earned: float = 0
-        while (asked or self._waiting) and self._free_at:
-            now, ends = self._free_at[0]
-            now = self._let_in(asked, now)
-            if now >= ends:
-                heappop(self._free_at)
+        now: float = 0
+        while (asked or self._waiting) and self._slots:
+            now = self._let_in(asked, max(now, min(slot.free_at for slot in self._slots)))
+            slot = self._fastest(now)
+            if slot is None:
                 continue
-            chosen = _best(self._waiting, now, self._way_s)
+            speed = slot.speed_at(now)
+            chosen = _best(self._waiting, now, speed, self._way_s)
             if chosen is None:
                 self._waiting.clear()
                 continue
             self._waiting.remove(chosen)
-            heapreplace(self._free_at, (now + chosen.work_s, ends))
-            earned += _worth_of(chosen, now + chosen.work_s + self._way_s)
+            slot.free_at = now + chosen.work_s / speed
+            earned += _worth_of(chosen, slot.free_at + self._way_s)
         return earned
 
+    def _fastest(self, now: float) -> _FreeSlot | None:
+        """Return the fastest slot that is free, forget those that are gone."""
+        self._slots = [slot for slot in self._slots if max(now, slot.free_at) < slot.ends_s]
+        free = [slot for slot in self._slots if slot.free_at <= now]
+        return max(free, key=lambda slot: slot.speed_at(now), default=None)
+
     def _let_in(self, asked: deque[_Asked], now: float) -> float:
         """Let all wait that come by `now`, or the next one; return when the last of them came."""
         while asked and (self._comes_at(asked[0]) <= now or not self._waiting):
@@ -87,12 +107,12 @@
     return kind.worth if answered_at <= request.at_s + kind.aim_s else kind.late_worth
 
 
-def _best(waiting: list[_Asked], now: float, way_s: float) -> _Asked | None:
+def _best(waiting: list[_Asked], now: float, speed: float, way_s: float) -> _Asked | None:
     """Return the request to work on next, None if all were given up."""
     in_time = [
         request
         for request in waiting
-        if now + request.work_s + way_s <= request.at_s + request.kind.aim_s
+        if now + request.work_s / speed + way_s <= request.at_s + request.kind.aim_s
     ]
     if in_time:
         return max(in_time, key=lambda request: request.gain)
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -5,14 +5,16 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from functools import partial
 from itertools import cycle
 
 from bronzekeel.core.routing.connection_ids import seal_of
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
+from bronzekeel.replay.load_addresses import Caller, CallerList
 from bronzekeel.replay.load_callers import Callers, Flow, Request, RequestKind, Tally
-from bronzekeel.replay.load_servers import Server, ServerKind
+from bronzekeel.replay.load_servers import Server, ServerKind, Slot
 from bronzekeel.replay.routing_fleet import FleetPolicies, RoutingFleet
 
 
@@ -35,6 +37,18 @@
 FEED = RequestKind('feed', bytes((198, 18, 0, 1, 32, 251)), priority=1, keeps_flow=True)
 
 
+@dataclass(frozen=True, slots=True)
+class Client:
+    """Hold a caller and those of its open flows that wait for a request, by kind."""
+
+    caller: Caller
+    idle_by_kind: dict[str, list[Flow]] = field(default_factory=dict)
+
+    def idle_for(self, kind: RequestKind) -> list[Flow]:
+        """Return the idle flows for one kind of request."""
+        return self.idle_by_kind.setdefault(kind.name, [])
+
+
 class FlowLoad:
     """Run callers against a fleet, and count what they feel."""
 
@@ -61,6 +75,7 @@
         self.fleet = RoutingFleet(names_by_centre, seed, policies)
         self.server_kind = server_kind or ServerKind()
         self.server_by_name: dict[str, Server] = {}
+        self.caller_list = CallerList()
         self.callers = Callers(self.fleet, names_by_centre, self.server_by_name)
         self.tally_by_kind = {kind.name: Tally(kind) for kind in kinds}
         routes = {
@@ -70,6 +85,7 @@
                 seal_of(kind.key),
                 kind.priority,
                 kind.timeout_s,
+                objective_s=kind.objective_s,
             )
             for kind in kinds
         }
@@ -86,14 +102,19 @@
         self._began_at = self.fleet.now
 
     @property
-    def slots(self) -> list[tuple[float, float]]:
-        """From when to when each slot of an upstream was there, seconds from the start."""
+    def slots(self) -> list[Slot]:
+        """All slots of all upstreams, with times from the start."""
         return [
-            (server.began_at - self._began_at, server.left_at - self._began_at)
+            slot
             for server in self.server_by_name.values()
-            for _ in range(server.kind.slots)
+            for slot in server.slots_since(self._began_at)
         ]
 
+    @property
+    def capacity(self) -> float:
+        """Work that all upstreams do in a second."""
+        return sum(server.kind.slots * server.speed for server in self.server_by_name.values())
+
     @property
     def elapsed_s(self) -> float:
         """Seconds since the load began."""
@@ -103,6 +124,7 @@
         """List one more upstream."""
         number = len(self.server_by_name) + 1
         server = Server(self.fleet, f'i-{number}', centre, self.server_kind)
+        server.work_at(self.server_kind.speed_of(number))
         cold_s = self.server_kind.cold_s if cold else 0
         server.cold_until = self.fleet.now + cold_s
         self.server_by_name[server.name] = server
@@ -127,11 +149,14 @@
         rate_of: Callable[[float], float],
         lasting_s: float,
         kind: RequestKind = SINGLE,
+        centre: str | None = None,
     ) -> None:
-        """Let requests arrive at random, ``rate_of`` a second, for some time, a flow each."""
+        """Let requests arrive at random, ``rate_of`` a second, for some time, a flow each.
+
+        They come from the callers of all data centres, or of one `centre`.
+        """
         for at_s in self._arrivals(rate_of, lasting_s):
-            begin = partial(self._begin, kind, self._any_centre(), None, _forget)
-            self.fleet.at(at_s, begin)
+            self.fleet.at(at_s, partial(self._arrive, kind, centre or self._any_centre()))
 
     def ask_from_clients(
         self,
@@ -139,16 +164,30 @@
         lasting_s: float,
         clients: int,
         kind: RequestKind = FEED,
+    ) -> None:
+        """Let requests arrive at random at so many new clients."""
+        self.ask_from(self.add_clients(clients), rate_of, lasting_s, kind)
+
+    def add_clients(self, clients: int, centre: str | None = None) -> list[Client]:
+        """Add clients in all data centres by their weights, or in one of them."""
+        centres = cycle([centre] if centre else self._centre_by_weight)
+        return [Client(self.caller_list.add(next(centres))) for _ in range(clients)]
+
+    def ask_from(
+        self,
+        clients: list[Client],
+        rate_of: Callable[[float], float],
+        lasting_s: float,
+        kind: RequestKind,
+        begins_s: float = 0,
     ) -> None:
         """Let requests arrive at random at clients, which use their open flows.
 
         A client whose flows are all busy opens one more, so that a burst opens many.
         """
-        centres = cycle(self._centre_by_weight)
-        idle_by_client: list[tuple[str, list[Flow]]] = [(next(centres), []) for _ in range(clients)]
-        for at_s in self._arrivals(rate_of, lasting_s):
-            client = self.fleet.random.choice(idle_by_client)
-            self.fleet.at(at_s, partial(self._ask_from, kind, *client))
+        for at_s in self._arrivals(rate_of, lasting_s, begins_s):
+            client = self.fleet.random.choice(clients)
+            self.fleet.at(at_s, partial(self._ask_from, kind, client))
 
     def hold_flows(self, users: int, lasting_s: float, kind: RequestKind = SINGLE) -> None:
         """Let users send request after request on long flows, for some time."""
@@ -156,12 +195,18 @@
         for number in range(users):
             centre = self._centre_by_weight[number % len(self._centre_by_weight)]
             delay_s = self.fleet.random.uniform(0, _PAUSE_S)
-            ask = partial(self._ask_on, kind, centre, None, _FLOW_REQUESTS, until)
+            caller = self.caller_list.add(centre)
+            ask = partial(self._ask_on, kind, caller, None, _FLOW_REQUESTS, until)
             self.fleet.at(delay_s, ask)
 
-    def _arrivals(self, rate_of: Callable[[float], float], lasting_s: float) -> list[float]:
+    def _arrivals(
+        self,
+        rate_of: Callable[[float], float],
+        lasting_s: float,
+        begins_s: float = 0,
+    ) -> list[float]:
         arrivals = []
-        at_s = self.fleet.random.expovariate(rate_of(0))
+        at_s = begins_s + self.fleet.random.expovariate(rate_of(begins_s))
         while at_s < lasting_s:
             arrivals.append(at_s)
             at_s += self.fleet.random.expovariate(rate_of(at_s))
@@ -198,20 +243,29 @@
         self.fleet.store.remove(Collection.UPSTREAMS, name)
         self.fleet.tell_watches()
 
-    def _ask_from(self, kind: RequestKind, centre: str, idle: list[Flow]) -> None:
+    def _arrive(self, kind: RequestKind, centre: str) -> None:
+        """Send a request of the next caller of a data centre on a flow of its own."""
+        self._begin(kind, self.caller_list.next_of(centre), None, _forget)
+
+    def _ask_from(self, kind: RequestKind, client: Client) -> None:
         """Send a request of a client on one of its idle flows or a new one."""
+        idle = client.idle_for(kind)
         flow = idle.pop() if idle else None
 
         def keep(used: Flow | None) -> None:  # noqa: WPS430 (holds the client's flows)
-            if used is not None and not used.ended:
-                idle.append(used)
+            if used is None or used.ended:
+                return
+            if used.carried == kind.flow_requests:
+                self.callers.close(used)
+                return
+            idle.append(used)
 
-        self._begin(kind, centre, flow, keep)
+        self._begin(kind, client.caller, flow, keep)
 
     def _ask_on(
         self,
         kind: RequestKind,
-        centre: str,
+        caller: Caller,
         flow: Flow | None,
         left: int,
         until: float,
@@ -224,22 +278,22 @@
 
         def go_on(used: Flow | None) -> None:  # noqa: WPS430 (holds the user's place)
             kept = used if left > 1 else None
-            self.fleet.at(pause_s, partial(self._ask_on, kind, centre, kept, remaining, until))
+            self.fleet.at(pause_s, partial(self._ask_on, kind, caller, kept, remaining, until))
 
-        self._begin(kind, centre, flow, go_on)
+        self._begin(kind, caller, flow, go_on)
 
     def _begin(
         self,
         kind: RequestKind,
-        centre: str,
+        caller: Caller,
         flow: Flow | None,
         then: Callable[[Flow | None], None],
     ) -> None:
-        spread = self.fleet.random.uniform(1 - kind.work_spread, 1 + kind.work_spread)
-        work_s = kind.work_s * spread
+        work_s = kind.draw_work_s(self.fleet.random)
         tally = self.tally_by_kind[kind.name]
+        caller.asked += 1
         tally.arrivals.append((self.elapsed_s, work_s))
-        self.callers.send(Request(tally, centre, self.fleet.now, work_s, then), flow)
+        self.callers.send(Request(tally, caller, self.fleet.now, work_s, then), flow)
 
 
 def _forget(flow: Flow | None) -> None:
--- /dev/null
+++ b/src/bronzekeel/replay/load_addresses.py
@@ -0,0 +1,78 @@
+"""Give the callers of a replayed load addresses, and count what each of them felt."""
+
+from collections import deque
+
+
+#: Addresses of callers count up from here; their ports go round.
+_FIRST_ADDRESS = 10 << 24
+_ADDRESS_BYTES = 4
+_PORT_BYTES = 2
+_PORTS = 1 << 16
+
+
+class Caller:
+    """Hold one caller, whose packets come to the hosts of `centre`.
+
+    One that is a `crowd` asks for many times its share.  `asked` and `in_time` count its
+    requests and those that were answered in time.
+    """
+
+    __slots__ = ('_address', '_port', 'asked', 'centre', 'crowd', 'in_time')
+
+    def __init__(self, number: int, centre: str) -> None:
+        """Give the caller the address with a running number."""
+        self._address = (_FIRST_ADDRESS + number).to_bytes(_ADDRESS_BYTES, 'big')
+        self._port = 0
+        self.centre = centre
+        self.crowd = False
+        self.asked = 0
+        self.in_time = 0
+
+    def next_key(self, route_key: bytes) -> bytes:
+        """Return the key of the next flow to a route: address, port, and the route's own."""
+        self._port = (self._port + 1) % _PORTS
+        return self._address + self._port.to_bytes(_PORT_BYTES, 'big') + route_key
+
+
+class CallerList:
+    """Hold all callers by the data centre that they belong to."""
+
+    __slots__ = ('_by_centre', '_count')
+
+    def __init__(self) -> None:
+        """Start with nobody."""
+        self._by_centre: dict[str, deque[Caller]] = {}
+        self._count = 0
+
+    def add(self, centre: str) -> Caller:
+        """Add one more caller of a data centre."""
+        self._count += 1
+        caller = Caller(self._count, centre)
+        self._by_centre.setdefault(centre, deque()).append(caller)
+        return caller
+
+    def next_of(self, centre: str) -> Caller:
+        """Return the callers of a data centre in turn; there is at least one."""
+        callers = self._by_centre.get(centre)
+        if not callers:
+            return self.add(centre)
+        callers.rotate(-1)
+        return callers[-1]
+
+    def move(self, centre: str, share: float, to_centre: str) -> None:
+        """Let a share of a data centre's callers send their packets to another one."""
+        callers = self._by_centre.get(centre, deque())
+        for place in range(round(len(callers) * share)):
+            callers[place].centre = to_centre
+
+    def late_share(self, *, crowd: bool) -> float:
+        """Return the share of requests without an answer in time, of crowds or of others."""
+        chosen = [
+            caller
+            for callers in self._by_centre.values()
+            for caller in callers
+            if caller.crowd is crowd
+        ]
+        asked = sum(caller.asked for caller in chosen)
+        in_time = sum(caller.in_time for caller in chosen)
+        return 1 - in_time / asked if asked else 0
--- a/src/bronzekeel/replay/load_callers.py
+++ b/src/bronzekeel/replay/load_callers.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from random import Random
 
 from bronzekeel.core.routing.model import FlowPacket
 from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict
+from bronzekeel.replay.load_addresses import Caller
 from bronzekeel.replay.load_servers import Server
 from bronzekeel.replay.routing_fleet import RoutingFleet
 
@@ -42,7 +44,9 @@
 
     `key` is the route's address and port.  An answer within `aim_s` earns `worth`, a later one
     `late_worth`; callers give up after `timeout_s`.  `keeps_flow` tells that they ask on open
-    flows where they have some.
+    flows where they have some, each of which they close after `flow_requests`, zero for never.
+    `tail_share` of the requests take `tail_factor` times as long.  The route states
+    `objective_s`.
     """
 
     name: str
@@ -55,6 +59,22 @@
     late_worth: float = 0.3
     priority: int = 0
     keeps_flow: bool = False
+    flow_requests: int = 0
+    tail_share: float = 0
+    tail_factor: float = 1
+    objective_s: float = 0
+
+    @property
+    def mean_work_s(self) -> float:
+        """Seconds that a request takes in the mean."""
+        return self.work_s * (1 + self.tail_share * (self.tail_factor - 1))
+
+    def draw_work_s(self, random: Random) -> float:
+        """Draw how long a request takes."""
+        work_s = self.work_s * random.uniform(1 - self.work_spread, 1 + self.work_spread)
+        if self.tail_share and random.random() < self.tail_share:
+            return work_s * self.tail_factor
+        return work_s
 
 
 @dataclass(slots=True)
@@ -91,19 +111,19 @@
 class Request:
     """Hold one request from its caller's first attempt to its end."""
 
-    __slots__ = ('attempts', 'begun_at', 'centre', 'ended', 'tally', 'then', 'work_s')
+    __slots__ = ('attempts', 'begun_at', 'caller', 'ended', 'tally', 'then', 'work_s')
 
     def __init__(
         self,
         tally: Tally,
-        centre: str,
+        caller: Caller,
         begun_at: float,
         work_s: float,
         then: Callable[['Flow | None'], None],
     ) -> None:
         """Begin; `then` goes on with the flow that answered, None when the request failed."""
         self.tally = tally
-        self.centre = centre
+        self.caller = caller
         self.begun_at = begun_at
         self.work_s = work_s
         self.then = then
@@ -116,6 +136,8 @@
 
     __slots__ = (
         'acknowledged',
+        'caller',
+        'carried',
         'connection_id',
         'ended',
         'host',
@@ -126,9 +148,11 @@
         'server',
     )
 
-    def __init__(self, key: bytes, host: str) -> None:
+    def __init__(self, caller: Caller, route_key: bytes, host: str) -> None:
         """Start with a flow that is not open."""
-        self.key = key
+        self.caller = caller
+        self.key = caller.next_key(route_key)
+        self.carried = 0
         self.host = host
         self.server: Server | None = None
         self.opened_by: set[str] = set()
@@ -155,7 +179,6 @@
         self.opened_twice = 0
         self._names_by_centre = names_by_centre
         self._server_by_name = server_by_name
-        self._numbers = 0
 
     def send(self, request: Request, flow: Flow | None) -> None:
         """Send a request on an open flow, or on a new one."""
@@ -165,6 +188,13 @@
         self.fleet.at(request.tally.kind.timeout_s, partial(self._give_up_on, request, flow))
         self._ask(flow, request)
 
+    def close(self, flow: Flow) -> None:
+        """Close a flow."""
+        flow.ended = True
+        flow.sequence += 1
+        packet = self._packet(flow, 0, closes=True)
+        self.fleet.at(CALLER_S, partial(self._steer, flow, packet, _ignore))
+
     def _open(self, request: Request) -> None:
         """Open a flow for a request, again and again for as long as callers do."""
         if request.ended:
@@ -174,9 +204,8 @@
             self._fail(request)
             return
         request.attempts += 1
-        self._numbers += 1
-        key = self._numbers.to_bytes(6, 'big') + request.tally.kind.key
-        flow = Flow(key, self._host_in(request.centre))
+        caller = request.caller
+        flow = Flow(caller, request.tally.kind.key, self._host_in(caller.centre))
         self._send_opening(flow, request, 0)
         for copy, delay_s in enumerate(_COPIES_S, start=1):
             self.fleet.at(delay_s, partial(self._send_opening, flow, request, copy))
@@ -204,15 +233,9 @@
         """Close the flow of a request that was not answered in time to be of use."""
         if request.ended:
             return
-        self._close(flow)
+        self.close(flow)
         self._fail(request)
 
-    def _close(self, flow: Flow) -> None:
-        flow.ended = True
-        flow.sequence += 1
-        packet = self._packet(flow, 0, closes=True)
-        self.fleet.at(CALLER_S, partial(self._steer, flow, packet, _ignore))
-
     def _send_opening(self, flow: Flow, request: Request, copy: int) -> None:
         if flow.server is not None or flow.ended:
             return
@@ -305,7 +328,10 @@
         if request.ended:
             return
         request.ended = True
-        request.tally.latencies.append(self.fleet.now - request.begun_at)
+        flow.carried += 1
+        latency_s = self.fleet.now - request.begun_at
+        request.caller.in_time += latency_s <= request.tally.kind.aim_s
+        request.tally.latencies.append(latency_s)
         request.tally.answered_at.append(self.fleet.now)
         request.then(flow)
 
@@ -330,10 +356,10 @@
         )
 
     def _steer(self, flow: Flow, packet: FlowPacket, then: Callable[[Verdict], None]) -> None:
-        """Give a packet to its host, to another one of the data centre if that is down."""
+        """Give a packet to its host, to another one if that is down or its caller has moved."""
         node = self.fleet.node_by_name[flow.host]
-        if not node.up:
-            flow.host = self._host_in(node.me.data_centre)
+        if not node.up or node.me.data_centre != flow.caller.centre:
+            flow.host = self._host_in(flow.caller.centre)
         self.fleet.steer(flow.host, packet, then)
 
     def _hop_s(self, flow: Flow, server: Server) -> float:
--- a/src/bronzekeel/replay/load_servers.py
+++ b/src/bronzekeel/replay/load_servers.py
@@ -13,20 +13,42 @@
     """Say what upstreams of one kind can do.
 
     Beyond `queue` waiting requests further ones are turned away at once.  A fresh one works
-    `cold_factor` times longer for `cold_s` seconds.
+    `cold_factor` times longer for `cold_s` seconds.  The list of `speeds` repeats.
     """
 
     slots: int = 3
     queue: int = 12
     cold_s: float = 3.0
     cold_factor: float = 1.6
+    speeds: tuple[float, ...] = (1,)
+
+    def speed_of(self, number: int) -> float:
+        """Return the speed of the upstream with a running number from 1."""
+        return self.speeds[(number - 1) % len(self.speeds)]
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """Say from when to when a slot is there, and how fast: pairs of a time and a speed."""
+
+    begins_s: float
+    ends_s: float
+    speeds: tuple[tuple[float, float], ...] = ((0, 1),)
+
+    def speed_at(self, at_s: float) -> float:
+        """Return the work that it does in a second at a time."""
+        speed = self.speeds[0][1]
+        for from_s, changed in self.speeds:
+            speed = changed if from_s <= at_s else speed
+        return speed
 
 
 class Server:
     """Work on requests in some slots, in the order in which they came.
 
     A `grey` one takes everything and answers nothing; a `silent` one does not even open
-    flows.  It is there from `began_at` to `left_at`.
+    flows.  It is there from `began_at` to `left_at`.  A request takes its work divided by the
+    speed at its begin; `speeds` are pairs of a time and the speed from then on.
     """
 
     __slots__ = (
@@ -43,6 +65,7 @@
         'ran',
         'silent',
         'slow',
+        'speeds',
         'turned_away',
     )
 
@@ -57,6 +80,7 @@
         self.began_at = time.now
         self.left_at = float('inf')
         self.slow: float = 1
+        self.speeds: list[tuple[float, float]] = [(time.now, 1)]
         self.grey = False
         self.silent = False
         self.cold_until: float = 0
@@ -68,6 +92,21 @@
         """Slots that nothing is worked on in."""
         return self.kind.slots - self._busy
 
+    @property
+    def speed(self) -> float:
+        """Work that a slot does in a second."""
+        return self.speeds[-1][1]
+
+    def work_at(self, speed: float) -> None:
+        """Work at another speed from now on."""
+        self.speeds.append((self._time.now, speed))
+
+    def slots_since(self, began_at: float) -> list[Slot]:
+        """Return all slots, with times counted from `began_at`."""
+        speeds = tuple((at - began_at, speed) for at, speed in self.speeds)
+        slot = Slot(self.began_at - began_at, self.left_at - began_at, speeds)
+        return [slot] * self.kind.slots
+
     def take(self, work_s: float, done: Callable[[bool], None]) -> None:
         """Work on a request when there is a slot; tell `done` whether it ran."""
         if self.grey or self.silent:
@@ -85,7 +124,7 @@
         self._busy += 1
         self.ran += 1
         cold = self.kind.cold_factor if self._time.now < self.cold_until else 1
-        self._time.at(work_s * self.slow * cold, partial(self._end, done))
+        self._time.at(work_s * self.slow * cold / self.speed, partial(self._end, done))
 
     def _end(self, done: Callable[[bool], None]) -> None:
         self._busy -= 1
