Replay moments of uneven demand: unequal speed, a long tail, a crowd, waves, moved callers

No moment showed upstreams that work at unequal speed, one caller that asks for many times its share or data centres whose demand swings: what is built for them could not be weighed. Nine of ten requests go on flows that are kept open for 20 requests; routes state an objective of 0.55 s, so that the parts that control demand act there, and only there.

--- /dev/null
+++ b/src/bronzekeel/bench/demand_moments.py
@@ -0,0 +1,230 @@
+"""Define moments of uneven demand: upstreams of unequal speed, crowds, callers that move.
+
+Requests on flows that are kept open do most of the work, and their answers may take half a
+second: a request can only be placed when its flow opens, and there is time to wait.
+"""
+
+from abc import abstractmethod
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+from math import cos, tau
+from types import MappingProxyType
+from typing import ClassVar
+
+from bronzekeel.bench.load_moments import Moment
+from bronzekeel.replay.flow_load import CENTRES, FEED, SINGLE, Client, FlowLoad
+from bronzekeel.replay.load_callers import RequestKind
+from bronzekeel.replay.load_servers import ServerKind
+
+
+_AIM_S = 0.55
+_TIMEOUT_S = 4.4
+_FLOW_REQUESTS = 20
+
+#: A feed, requests that change something and are worth more, and downloads.
+WATCH = RequestKind(
+    'watch',
+    FEED.key,
+    work_s=0.034,
+    aim_s=_AIM_S,
+    timeout_s=_TIMEOUT_S,
+    late_worth=0.1,
+    priority=2,
+    keeps_flow=True,
+    flow_requests=_FLOW_REQUESTS,
+    objective_s=_AIM_S,
+)
+AMEND = replace(
+    WATCH,
+    name='amend',
+    key=bytes((198, 18, 0, 1, 32, 252)),
+    work_s=0.044,
+    worth=2,
+    late_worth=0.2,
+    priority=1,
+)
+FETCH = replace(WATCH, name='fetch', key=SINGLE.key, keeps_flow=False, flow_requests=0)
+
+#: Share of the work that each kind asks for.
+_SHARE_BY_KIND = MappingProxyType({WATCH.name: 0.65, AMEND.name: 0.25, FETCH.name: 0.1})
+
+_CLIENTS = 60
+
+#: Requests of the long tail, and how much longer they take.
+_TAIL_SHARE = 0.03
+_TAIL_FACTOR = 7
+
+
+class DemandMoment(Moment):
+    """Hold a moment in which callers ask for `usual_share` of what all slots can do.
+
+    Some of the `clients` may be a crowd.
+    """
+
+    name = 'demand'
+    kinds: ClassVar[tuple[RequestKind, ...]] = (WATCH, AMEND, FETCH)
+    server_kind = ServerKind(slots=2, queue=8, cold_s=2)
+    late_s = _AIM_S
+    lasting_s = 16
+    usual_share: ClassVar[float] = 0.7
+    clients: ClassVar[int] = _CLIENTS
+
+    def ask(self, load: FlowLoad) -> None:
+        """Plan requests of all kinds."""
+        clients = load.add_clients(self.clients)
+        work_s = self.usual_share * load.capacity
+        for kind in self.kinds:
+            usual = work_s * _SHARE_BY_KIND[kind.name] / kind.mean_work_s
+            self.ask_for(load, kind, clients, usual)
+
+    def ask_for(
+        self,
+        load: FlowLoad,
+        kind: RequestKind,
+        clients: list[Client],
+        usual: float,
+    ) -> None:
+        """Plan the requests of one kind, `usual` a second."""
+        rate_of = partial(self.rate_of, usual=usual)
+        if kind.keeps_flow:
+            load.ask_from(clients, rate_of, self.lasting_s, kind)
+            return
+        load.arrive(rate_of, self.lasting_s, kind)
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Plan nothing."""
+
+
+class Unequal(DemandMoment):
+    """One of four upstreams does less than half of what the others do."""
+
+    name = 'unequal'
+    server_kind = ServerKind(slots=2, queue=8, cold_s=2, speeds=(0.55, 1.2, 1.2, 1.2))
+
+
+class UnequalHigh(Unequal):
+    """The same at nine tenths of what all can do."""
+
+    name = 'unequal_0.9'
+    usual_share = 0.9
+
+
+class ChangingSpeed(DemandMoment):
+    """A third of the upstreams work three times slower for six seconds."""
+
+    name = 'changing_speed'
+    usual_share = 0.6
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Slow every third one down."""
+        for server in list(load.server_by_name.values())[::3]:
+            load.fleet.at(4, partial(server.work_at, 1 / 3))
+            load.fleet.at(10, partial(server.work_at, 1))
+
+
+class LongTail(DemandMoment):
+    """Three in a hundred requests take seven times as long, at high load."""
+
+    name = 'long_tail'
+    usual_share = 0.9
+    kinds = tuple(
+        replace(kind, tail_share=_TAIL_SHARE, tail_factor=_TAIL_FACTOR)
+        for kind in (WATCH, AMEND, FETCH)
+    )
+
+
+class CrowdOfOneCaller(DemandMoment):
+    """One of twelve callers sends ten times its share for four seconds, through all hosts."""
+
+    name = 'crowd_of_one_caller'
+    clients = 12
+    _times: ClassVar[float] = 10
+    _begins_s: ClassVar[float] = 4
+    _ends_s: ClassVar[float] = 8
+
+    def ask_for(
+        self,
+        load: FlowLoad,
+        kind: RequestKind,
+        clients: list[Client],
+        usual: float,
+    ) -> None:
+        """Plan the usual requests, and what the first client asks for beyond its share."""
+        super().ask_for(load, kind, clients, usual)
+        if not kind.keeps_flow:
+            return
+        crowd = clients[0]
+        crowd.caller.crowd = True
+        more = usual * (self._times - 1) / len(clients)
+        load.ask_from([crowd], lambda at_s: more, self._ends_s, kind, self._begins_s)
+
+
+class _ByCentre(DemandMoment):
+    """Let the callers of each data centre ask at a rate of their own."""
+
+    clients = _CLIENTS
+
+    def ask_for(
+        self,
+        load: FlowLoad,
+        kind: RequestKind,
+        clients: list[Client],
+        usual: float,
+    ) -> None:
+        """Plan the requests of each data centre's callers."""
+        for place, centre in enumerate(CENTRES):
+            rate_of = self.rate_in(place, usual / len(CENTRES))
+            if kind.keeps_flow:
+                own = [client for client in clients if client.caller.centre == centre]
+                load.ask_from(own, rate_of, self.lasting_s, kind)
+                continue
+            load.arrive(rate_of, self.lasting_s, kind, centre)
+
+    @abstractmethod
+    def rate_in(self, place: int, usual: float) -> Callable[[float], float]:
+        """Return the requests a second by time in one data centre."""
+
+
+class Waves(_ByCentre):
+    """Demand swings by half up and down in each data centre, a little later in each."""
+
+    name = 'waves'
+    lasting_s = 30
+    usual_share = 0.65
+    _phase: ClassVar[float] = 0.1
+    _swing: ClassVar[float] = 0.55
+    _period_s: ClassVar[float] = 15
+
+    def rate_in(self, place: int, usual: float) -> Callable[[float], float]:
+        """Return a wave with a phase of its own."""
+        phase = place * self._phase
+        return lambda at_s: usual * (1 + self._swing * cos(tau * (at_s / self._period_s - phase)))
+
+
+class MovedCallers(_ByCentre):
+    """Four fifths of one data centre's callers send to another one for six seconds."""
+
+    name = 'moved_callers'
+    usual_share = 0.9
+
+    def rate_in(self, place: int, usual: float) -> Callable[[float], float]:
+        """Return the usual rate."""
+        return lambda at_s: usual
+
+    def disturb(self, load: FlowLoad) -> None:
+        """Move callers, and let them return."""
+        home, other = CENTRES[:2]
+        load.fleet.at(4, partial(load.caller_list.move, home, 0.8, other))
+        load.fleet.at(10, partial(load.caller_list.move, home, 1, home))
+
+
+DEMAND_MOMENTS: tuple[type[Moment], ...] = (
+    Unequal,
+    UnequalHigh,
+    ChangingSpeed,
+    LongTail,
+    CrowdOfOneCaller,
+    Waves,
+    MovedCallers,
+)
--- a/src/bronzekeel/bench/load_figures.py
+++ b/src/bronzekeel/bench/load_figures.py
@@ -9,7 +9,9 @@
 class PlacementFigures(Struct, frozen=True):
     """Hold what callers felt under one policy; times are seconds.
 
-    `late_share` counts answers after 0.2 s and requests without one.  `earned_share` is of
+    `late_share` counts late answers and requests without one,
+    `crowd_late_share` those of callers that ask for many times their share, `others_late_share`
+    those of all others, by what their kind of request aims at.  `earned_share` is of
     the worth of all requests, `urgent_share` of that of the most urgent kind;
     `earned_over_ceiling` compares with perfect sight.  `turned_away_share` is what
     upstreams turned away, for each request that they ran.  `heartbeats_s` is how many one
@@ -29,6 +31,8 @@
     earned_over_ceiling: float
     urgent_share: float
     turned_away_share: float
+    crowd_late_share: float
+    others_late_share: float
 
 
 def mean_of(plays: list[PlacementFigures]) -> PlacementFigures:
--- a/src/bronzekeel/bench/load_moments.py
+++ b/src/bronzekeel/bench/load_moments.py
@@ -31,7 +31,10 @@
 
 
 class Moment(ABC):
-    """Hold one worst moment of `lasting_s` seconds, in which balancers may be `dark`."""
+    """Hold one worst moment of `lasting_s` seconds, in which balancers may be `dark`.
+
+    Answers after `late_s` count as late.
+    """
 
     name: ClassVar[str]
     equal_upstreams: ClassVar[bool] = False
@@ -39,6 +42,7 @@
     server_kind: ClassVar[ServerKind] = ServerKind()
     kinds: ClassVar[tuple[RequestKind, ...]] = (SINGLE, FEED)
     dark: ClassVar[tuple[float, float]] = (0, 0)
+    late_s: ClassVar[float] = SINGLE.aim_s
     lasting_s: float = 12
 
     def ask(self, load: FlowLoad) -> None:
--- a/src/bronzekeel/bench/placement.py
+++ b/src/bronzekeel/bench/placement.py
@@ -12,6 +12,7 @@
 from rich.progress import track
 
 from bronzekeel.bench.base import Benchmark
+from bronzekeel.bench.demand_moments import DEMAND_MOMENTS
 from bronzekeel.bench.load_ceiling import PerfectSight
 from bronzekeel.bench.load_figures import PlacementFigures, mean_of
 from bronzekeel.bench.load_moments import MOMENTS, Moment
@@ -26,7 +27,6 @@
 _SETTLING_S = 6.0
 _P50 = 0.5
 _P99 = 0.99
-_LATE_S = 0.2
 
 #: How much more late requests than the best policy the product may have in one moment.
 #: Source: twice the difference between two seeds.
@@ -88,7 +88,7 @@
 
 
 _MOMENT_BY_NAME: Mapping[str, type[Moment]] = MappingProxyType(
-    {kind.name: kind for kind in MOMENTS},
+    {kind.name: kind for kind in (*MOMENTS, *DEMAND_MOMENTS)},
 )
 
 
@@ -133,8 +133,7 @@
     load = load_of_moment(moment, policies, seed, hosts, upstreams)
     played_s = moment.lasting_s + _SETTLING_S
     load.fleet.run(played_s)
-    sight = PerfectSight(load.slots, 2 * CALLER_S, moment.dark)
-    return _figures_of(load, sight, played_s)
+    return _figures_of(load, moment, played_s)
 
 
 def load_of_moment(
@@ -159,13 +158,14 @@
     return load
 
 
-def _figures_of(load: FlowLoad, sight: PerfectSight, played_s: float) -> PlacementFigures:
+def _figures_of(load: FlowLoad, moment: Moment, played_s: float) -> PlacementFigures:
     """Return what was felt, beside perfect sight."""
+    sight = PerfectSight(load.slots, 2 * CALLER_S, moment.dark)
     tallies = list(load.tally_by_kind.values())
     latencies = [latency for tally in tallies for latency in tally.latencies]
     total = sum(len(tally.arrivals) for tally in tallies)
     unanswered = total - len(latencies)
-    late = sum(latency > _LATE_S for latency in latencies)
+    late = sum(latency > moment.late_s for latency in latencies)
     ran = [server.ran for server in load.server_by_name.values()]
     earned = sum(tally.earned for tally in tallies)
     urgent = min(tallies, key=lambda tally: (not tally.arrivals, tally.kind.priority))
@@ -183,6 +183,8 @@
         earned_over_ceiling=earned / sight.earn(tallies),
         urgent_share=urgent.earned / max(urgent.owed, 1),
         turned_away_share=_turned_away(load) / max(sum(ran), 1),
+        crowd_late_share=load.caller_list.late_share(crowd=True),
+        others_late_share=load.caller_list.late_share(crowd=False),
     )
 
 
--- a/src/bronzekeel/replay/load_addresses.py
+++ b/src/bronzekeel/replay/load_addresses.py
@@ -7,7 +7,7 @@
 _FIRST_ADDRESS = 10 << 24
 _ADDRESS_BYTES = 4
 _PORT_BYTES = 2
-_PORTS = 1 << 16
+_MOST_PORT = 0xFFFF
 
 
 class Caller:
@@ -30,7 +30,7 @@
 
     def next_key(self, route_key: bytes) -> bytes:
         """Return the key of the next flow to a route: address, port, and the route's own."""
-        self._port = (self._port + 1) % _PORTS
+        self._port = self._port % _MOST_PORT + 1
         return self._address + self._port.to_bytes(_PORT_BYTES, 'big') + route_key
 
 
@@ -44,6 +44,11 @@
         self._by_centre: dict[str, deque[Caller]] = {}
         self._count = 0
 
+    @property
+    def callers(self) -> list[Caller]:
+        """All of them."""
+        return [caller for callers in self._by_centre.values() for caller in callers]
+
     def add(self, centre: str) -> Caller:
         """Add one more caller of a data centre."""
         self._count += 1
@@ -67,12 +72,7 @@
 
     def late_share(self, *, crowd: bool) -> float:
         """Return the share of requests without an answer in time, of crowds or of others."""
-        chosen = [
-            caller
-            for callers in self._by_centre.values()
-            for caller in callers
-            if caller.crowd is crowd
-        ]
+        chosen = [caller for caller in self.callers if caller.crowd is crowd]
         asked = sum(caller.asked for caller in chosen)
         in_time = sum(caller.in_time for caller in chosen)
         return 1 - in_time / asked if asked else 0
--- a/src/bronzekeel/replay/load_servers.py
+++ b/src/bronzekeel/replay/load_servers.py
@@ -105,7 +105,7 @@
         """Return all slots, with times counted from `began_at`."""
         speeds = tuple((at - began_at, speed) for at, speed in self.speeds)
         slot = Slot(self.began_at - began_at, self.left_at - began_at, speeds)
-        return [slot] * self.kind.slots
+        return [slot for _ in range(self.kind.slots)]
 
     def take(self, work_s: float, done: Callable[[bool], None]) -> None:
         """Work on a request when there is a slot; tell `done` whether it ran."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from bronzekeel.bench.demand_moments import DEMAND_MOMENTS
 from bronzekeel.bench.load_figures import PlacementFigures
 from bronzekeel.bench.load_moments import (
     MOMENTS,
@@ -96,7 +97,7 @@
         Sequence: a policy that was weighed and not chosen is played.
         Cause: testing the chosen ones only.
         """
-        for moment in MOMENTS:
+        for moment in (*MOMENTS, *DEMAND_MOMENTS):
             for name, policies in POLICIES.items():
                 with self.subTest(moment=moment.name, policy=name):
                     small = played(moment(), policies, hosts=1, upstreams=1)
