Soak upstreams of changing speed, a crowd of one caller and moved callers

Callers of the soak had one address and one data centre each for ever, upstreams were either well or disturbed: nothing could show that one caller takes what is due to others, that flows of upstreams that are merely slow are reset, or that callers whose packets come to another data centre lose their flows. Fifteen callers have addresses of their own now, routes of the portal state an objective of 0.8 s, and three faults overlap with the others.

SHARED compares callers of one data centre over the same seconds, so that what strikes hosts or the machine strikes all of them alike; SLOW_KEPT asks of a slow upstream what FLOW_KEPT asks of others. NOT_RUN had nothing that could break it but refused openings, behind which no request is sent: it looks at requests on flows that a host resets too, and at what runs later.

--- a/src/bronzekeel/platform/answers.py
+++ b/src/bronzekeel/platform/answers.py
@@ -1,5 +1,6 @@
 """Spell what lies in the platform's store and what it answers, for stand-ins of it."""
 
+from collections.abc import Mapping
 from typing import Any
 
 
@@ -71,9 +72,16 @@
     }
 
 
-def text_spec(version: int, service_by_address: dict[tuple[str, int], str]) -> dict[str, Any]:
-    """Return an operators' text with a route for each address and port."""
-    routes = [
+def text_spec(
+    version: int,
+    service_by_address: dict[tuple[str, int], str],
+    objective_ms_by_service: Mapping[str, int] | None = None,
+) -> dict[str, Any]:
+    """Return an operators' text with a route for each address and port.
+
+    Routes to a service state its latency objective if there is one.
+    """
+    routes: list[dict[str, Any]] = [
         {
             'name': f'to-{service}',
             'host': host,
@@ -83,4 +91,8 @@
         }
         for (host, port), service in service_by_address.items()
     ]
+    for route in routes:
+        objective_ms = (objective_ms_by_service or {}).get(route['service'])
+        if objective_ms:
+            route['sloMs'] = objective_ms
     return {'version': version, 'routes': routes, 'limits': {}}
--- a/src/bronzekeel/soak/callers.py
+++ b/src/bronzekeel/soak/callers.py
@@ -10,8 +10,9 @@
 
 from bronzekeel.soak.checks import Checks, Promise
 from bronzekeel.soak.fabric import Fabric
-from bronzekeel.soak.links import Address, bound_datagrams
+from bronzekeel.soak.links import Address, bound_datagrams, loopback
 from bronzekeel.soak.requests import Request, read_answer
+from bronzekeel.soak.shares import Caller, Shares
 from bronzekeel.soak.upstreams import Runs, Upstream
 from bronzekeel.standins.echo_packets import (
     ACK,
@@ -25,6 +26,7 @@
 
 
 _LOOPBACK = '127.0.0.1'
+_CALLERS_NET = '127.7'
 _FIRST_PORT = 1024
 _PORTS = 64_000
 _SEQUENCE_BITS = 31
@@ -51,7 +53,7 @@
 
     __slots__ = (
         'acknowledged',
-        'data_centre',
+        'caller',
         'echo',
         'inbox',
         'opened_at',
@@ -62,11 +64,11 @@
         'used_at',
     )
 
-    def __init__(self, port: int, target: Address, data_centre: str, sequence: int) -> None:
+    def __init__(self, port: int, target: Address, caller: Caller, sequence: int) -> None:
         """Start with a flow that is not open."""
         self.port = port
         self.target = target
-        self.data_centre = data_centre
+        self.caller = caller
         self.sequence = sequence
         self.acknowledged = 0
         self.echo = 0
@@ -77,7 +79,11 @@
 
 
 class Callers(DatagramProtocol):
-    """Own the socket at which all callers take packets, and send requests."""
+    """Own the sockets at which callers take packets, and send requests.
+
+    `shares` count what each of `all` asks for while one of them is a crowd.  Probes come from an
+    address of their own.
+    """
 
     def __init__(
         self,
@@ -91,6 +97,9 @@
         self.outcomes: Counter[Outcome] = Counter()
         self.flows = 0
         self.dropped_routes: set[Address] = set()
+        self.probe = Caller(_LOOPBACK, '')
+        self.all: list[Caller] = []
+        self.shares: Shares | None = None
         self._fabric = fabric
         self._upstreams = upstreams
         self._checks = checks
@@ -99,16 +108,30 @@
         self._flow_by_port: dict[int, Flow] = {}
         self._requests = 0
         self._served: list[tuple[float, bool]] = []
-        self._transport: DatagramTransport | None = None
+        self._port = 0
+        self._transports: list[DatagramTransport] = []
 
     async def open(self, port: int) -> None:
         """Bind the port that the platform sends callers' packets to."""
-        self._transport = await bound_datagrams(self, (_LOOPBACK, port))
+        self._port = port
+        await self._bind(_LOOPBACK)
+
+    async def add(self, data_centre: str) -> Caller:
+        """Add a caller with an address of its own."""
+        caller = Caller(loopback(_CALLERS_NET, len(self._transports)), data_centre)
+        await self._bind(caller.address)
+        self.all.append(caller)
+        return caller
+
+    def void_shares(self) -> None:
+        """Let the shares that are counted now judge nothing: callers move meanwhile."""
+        if self.shares is not None:
+            self.shares.void = True
 
     def close(self) -> None:
-        """Free the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        """Free the sockets."""
+        for transport in self._transports:
+            transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Give a packet to its flow."""
@@ -117,18 +140,18 @@
         if flow is not None:
             flow.inbox.put_nowait((segment, (str(addr[0]), int(addr[1]))))
 
-    def new_flow(self, target: Address, data_centre: str) -> Flow:
+    def new_flow(self, target: Address, caller: Caller) -> Flow:
         """Return a flow from a port of its own."""
         self.flows += 1
         port = _FIRST_PORT + self.flows % _PORTS
-        flow = Flow(port, target, data_centre, self._random.getrandbits(_SEQUENCE_BITS))
+        flow = Flow(port, target, caller, self._random.getrandbits(_SEQUENCE_BITS))
         self._flow_by_port[port] = flow
         return flow
 
     async def request(
         self,
         target: Address,
-        data_centre: str,
+        caller: Caller,
         size: int,
         flow: Flow | None = None,
         *,
@@ -142,14 +165,20 @@
         self._requests += 1
         number = self._requests
         begun_at = monotonic()
+        shares = self.shares
+        data_centre = caller.data_centre
+        if shares is not None:
+            shares.note_asked(data_centre, caller.address)
         for attempt in range(_ATTEMPTS):
-            used = flow or self.new_flow(target, data_centre)
+            used = flow or self.new_flow(target, caller)
             flow = None
             request = Request(number, attempt, size, idempotent=idempotent)
             outcome = await self._try(used, request)
             self.outcomes[outcome] += 1
             if outcome is Outcome.ANSWERED:
                 self._served.append((begun_at, True))
+                if shares is not None:
+                    shares.note_served(data_centre, caller.address)
                 return used
             self.end(used)
             unsure = outcome in {Outcome.BROKEN, Outcome.SILENT} and used.opened_at is not None
@@ -190,12 +219,14 @@
             return Outcome.ANSWERED
         return Outcome.SILENT
 
+    async def _bind(self, address: str) -> None:
+        self._transports.append(await bound_datagrams(self, (address, self._port)))
+
     async def _try(self, flow: Flow, request: Request) -> Outcome:
         if flow.opened_at is None:
             outcome = await self.try_open(flow)
             if outcome is Outcome.REFUSED:
-                ran = (request.number, request.attempt) in self._runs.attempts
-                self._checks.check(Promise.NOT_RUN, not ran, f'request {request.number}')
+                self._check_not_run(request)
             if outcome is not Outcome.ANSWERED:
                 return outcome
         return await self._ask(flow, request)
@@ -222,20 +253,20 @@
         sender: Address,
     ) -> Outcome:
         if segment.flags & RST:
-            self._check_reset(flow, sender)
+            self._check_reset(flow, request, sender)
             return Outcome.BROKEN
         answer = read_answer(segment.payload)
         own = answer is not None and answer.number == request.number
         self._checks.check(Promise.ANSWERED_WHOLE, own, f'request {request.number}')
         if answer is None:
             return Outcome.BROKEN
-        self._checks.check(Promise.FLOW_KEPT, True, '')  # noqa: FBT003 (it was answered)
+        self._checks.check(_kept(flow), True, '')  # noqa: FBT003 (it was answered)
         flow.acknowledged = segment.sequence + len(segment.payload)
         flow.used_at = monotonic()
         self._send(flow, ACK, b'')
         return Outcome.ANSWERED if answer.ran else Outcome.TURNED_AWAY
 
-    def _check_reset(self, flow: Flow, sender: Address) -> None:
+    def _check_reset(self, flow: Flow, request: Request, sender: Address) -> None:
         """Check a reset on an open flow that its upstream did not send: that must not live."""
         upstream = flow.upstream
         if upstream is None or sender == upstream.address:
@@ -244,7 +275,15 @@
         undisturbed = upstream.alive and calm
         dropped = flow.target in self.dropped_routes
         told = f'flow {flow.port} to {flow.target} at upstream {upstream.number} by {sender}'
-        self._checks.check(Promise.FLOW_KEPT, dropped or not undisturbed, told)
+        self._checks.check(_kept(flow), dropped or not undisturbed, told)
+        if undisturbed:
+            self._check_not_run(request)
+
+    def _check_not_run(self, request: Request) -> None:
+        """Check that a request that a host refused did not run, and does not run later."""
+        self._runs.refused.add((request.number, request.attempt))
+        ran = (request.number, request.attempt) in self._runs.attempts
+        self._checks.check(Promise.NOT_RUN, not ran, f'request {request.number}')
 
     def _upstream_at(self, address: Address) -> Upstream | None:
         for upstream in self._upstreams.values():
@@ -270,7 +309,7 @@
         host: Address | None = None,
     ) -> None:
         segment = EchoSegment(
-            (_LOOPBACK, flow.port),
+            (flow.caller.address, flow.port),
             flow.target,
             flags,
             flow.echo,
@@ -280,10 +319,16 @@
         )
         segment.checksum = segment.reckoned_checksum
         key = f'{flow.port}>{flow.target}'.encode()
-        chosen = self._fabric.choose(key, flow.data_centre)
-        if self._transport is None or (host is None and not self._fabric.passes(chosen)):
+        chosen = self._fabric.choose(key, flow.caller.data_centre)
+        if not self._transports or (host is None and not self._fabric.passes(chosen)):
             return
-        self._transport.sendto(build_echo(segment), host or chosen.packets)
+        self._transports[0].sendto(build_echo(segment), host or chosen.packets)
+
+
+def _kept(flow: Flow) -> Promise:
+    """Return what holds for an established flow."""
+    slow = flow.upstream is not None and flow.upstream.speed < 1
+    return Promise.SLOW_KEPT if slow else Promise.FLOW_KEPT
 
 
 def _is_repeat(flow: Flow, segment: EchoSegment) -> bool:
--- a/src/bronzekeel/soak/checks.py
+++ b/src/bronzekeel/soak/checks.py
@@ -13,6 +13,8 @@
     NOT_RUN = 'a refused request did not run'
     ANSWERED_WHOLE = 'an answer is whole and belongs to its request'
     FLOW_KEPT = 'an established flow of a living upstream is not reset'
+    SLOW_KEPT = 'an established flow of an upstream that turned slow is not reset'
+    SHARED = 'no caller is shut out while another has more than its share of what is served'
     TEXT_IN_FORCE = 'an accepted text is in force within its bound'
     TEXT_KEPT = 'a text in force is never taken back'
     DRAINED = 'an upstream that leaves gets no new flow after its bound'
--- a/src/bronzekeel/soak/faults.py
+++ b/src/bronzekeel/soak/faults.py
@@ -1,5 +1,6 @@
 """List every kind of fault that a soak injects."""
 
+from bronzekeel.soak.demand_faults import CallersMoved, OneCallerCrowds, UpstreamsUneven
 from bronzekeel.soak.fault import Fault
 from bronzekeel.soak.host_faults import (
     AllKilled,
@@ -72,4 +73,7 @@
     TextGrown,
     CentreEvacuated,
     Burst,
+    OneCallerCrowds,
+    CallersMoved,
+    UpstreamsUneven,
 )
--- a/src/bronzekeel/soak/load_faults.py
+++ b/src/bronzekeel/soak/load_faults.py
@@ -76,8 +76,10 @@
 
     async def begin(self) -> None:
         """Begin."""
+        self.site.load_contact.begin()
         self.site.ask_for(_BURST)
 
     async def end(self) -> None:
         """End."""
         self.site.ask_for(1)
+        self.site.load_contact.end()
--- /dev/null
+++ b/src/bronzekeel/soak/shares.py
@@ -0,0 +1,62 @@
+"""Know the callers of a soak, and judge whether one is shut out while another has too much."""
+
+from collections import Counter
+
+from bronzekeel.soak.checks import Checks, Promise
+
+
+#: Requests that are due to a caller below which nothing is judged, and the share of them that must
+#: be served: fewer than that is no chance.
+_LEAST_DUE = 12
+_SERVED_SHARE = 0.25
+
+
+class Caller:
+    """Hold one caller: its address, and the data centre whose hosts get its packets."""
+
+    __slots__ = ('address', 'data_centre')
+
+    def __init__(self, address: str, data_centre: str) -> None:
+        """Start in its data centre."""
+        self.address = address
+        self.data_centre = data_centre
+
+
+class Shares:
+    """Count what the callers of each data centre asked for at the same time, and were served.
+
+    Callers of one data centre use the same hosts: what strikes these, and a machine that is
+    busy, strikes all of them alike.  `void` ones judge nothing.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing asked."""
+        self.void = False
+        self._asked_by_centre: dict[str, Counter[str]] = {}
+        self._served_by_centre: dict[str, Counter[str]] = {}
+
+    def note_asked(self, data_centre: str, address: str) -> None:
+        """Count a request when it begins."""
+        self._asked_by_centre.setdefault(data_centre, Counter())[address] += 1
+
+    def note_served(self, data_centre: str, address: str) -> None:
+        """Count a request that was served."""
+        self._served_by_centre.setdefault(data_centre, Counter())[address] += 1
+
+    def check(self, checks: Checks) -> None:
+        """Check what each caller was served of what was due to it.
+
+        An equal share of what was served is due to a caller, or less if it asked for less.
+        """
+        if self.void:
+            return
+        for data_centre, asked_by_address in self._asked_by_centre.items():
+            served_by_address = self._served_by_centre.get(data_centre, Counter())
+            share = served_by_address.total() / len(asked_by_address)
+            for address, asked in asked_by_address.items():
+                due = min(asked, share)
+                if due < _LEAST_DUE:
+                    continue
+                served = served_by_address[address]
+                told = f'{address} in {data_centre} asked {asked} times, was served {served} times'
+                checks.check(Promise.SHARED, served >= due * _SERVED_SHARE, told)
--- a/src/bronzekeel/soak/site.py
+++ b/src/bronzekeel/soak/site.py
@@ -26,23 +26,23 @@
 _LOOPBACK = '127.0.0.1'
 _UPSTREAMS_A_CENTRE = 3
 _INTAKE_UPSTREAMS = 2
+_CALLERS_A_CENTRE = 5
 _SEEDS = 3
 _READY_S = 30.0
 _LOOK_S = 0.05
 _PORTS = 3
-_ENDLESS = float('inf')
 _NUMBER_BITS = 60
 
 #: Seconds after the store's word of an evacuation until which new flows may reach it.  Source: all
 #: hosts know within a second; as much again for a machine that is busy.
 EVACUATED_S = 2.0
 
-#: Seconds after a burst in which flows may still be refused.
-_WORKED_OFF_S = 4.0
-
 
 class Site:
-    """Own everything that a soak runs; `store_contact` tells when the store was disturbed."""
+    """Own everything that a soak runs; `store_contact` tells when the store was disturbed.
+
+    `load_contact` tells when callers asked for more than upstreams can do.
+    """
 
     def __init__(self, hosts: int, seed: int, folder: Path, script: Path = START_SCRIPT) -> None:
         """Prepare `hosts` balancers over three data centres, started by `script`."""
@@ -64,7 +64,7 @@
         self.texts = Texts(self.store)
         self.evacuated_at_by_centre: dict[str, float] = {}
         self.burst: float = 1
-        self.overloaded_until: float = 0
+        self.load_contact = Contact()
         self._ports = Ports(*_free_ports())
         self._first_hosts = hosts
         self._folder = folder
@@ -73,12 +73,11 @@
     @property
     def overloaded(self) -> bool:
         """Whether balancers may refuse flows for want of room."""
-        return monotonic() < self.overloaded_until
+        return not self.load_contact.in_touch
 
     def ask_for(self, times: float) -> None:
-        """Let callers ask for `times` the usual; what was asked is worked off for a while."""
+        """Let callers ask for `times` the usual."""
         self.burst = times
-        self.overloaded_until = _ENDLESS if times > 1 else monotonic() + _WORKED_OFF_S
 
     def note_busy_machine(self) -> None:
         """Take everything for disturbed: the machine cannot keep up, and times mean nothing."""
@@ -89,6 +88,8 @@
         """Start everything; return when all balancers take traffic.  Raises TimeoutError."""
         await self.store.open()
         await self.callers.open(self._ports.packets)
+        for place in range(_CALLERS_A_CENTRE * len(CENTRES)):
+            await self.callers.add(CENTRES[place % len(CENTRES)])
         for centre in CENTRES:
             for _ in range(_UPSTREAMS_A_CENTRE):
                 await self.add_upstream(PORTAL, centre)
--- a/src/bronzekeel/soak/text_probe.py
+++ b/src/bronzekeel/soak/text_probe.py
@@ -29,6 +29,7 @@
     def __init__(self, site: Site) -> None:
         """Probe the hosts of a site."""
         self._site = site
+        self._caller = site.callers.probe
         self._seen_by_start: dict[tuple[str, int], tuple[int, float]] = {}
 
     async def run(self) -> None:
@@ -64,7 +65,7 @@
     async def _open(self, host: Host, route: Address) -> tuple[float, int, Outcome]:
         sent_at = monotonic()
         start = host.starts
-        flow = self._site.callers.new_flow(route, host.data_centre)
+        flow = self._site.callers.new_flow(route, self._caller)
         outcome = await self._site.callers.try_open(flow, host.packets)
         self._site.callers.end(flow)
         return sent_at, start, outcome
--- a/src/bronzekeel/soak/texts.py
+++ b/src/bronzekeel/soak/texts.py
@@ -13,6 +13,9 @@
 _SERVICE_BY_ADDRESS = MappingProxyType({FEEDS: 'portal', SINGLES: 'portal', SHEETS: 'intake'})
 _CHANGING_PORT = 443
 
+#: Latency objectives in milliseconds: demand on a service is controlled where there is time for it.
+_OBJECTIVE_MS_BY_SERVICE = MappingProxyType({'portal': 800})
+
 
 class Change:
     """Hold one text that was accepted: its new route, the route it dropped, and when."""
@@ -54,7 +57,7 @@
         for address, service in service_by_address.items():
             self.routes_of(service).add(address)
         self._service_by_address = service_by_address
-        self._store.put_text(self._version, service_by_address)
+        self._store.put_text(self._version, service_by_address, _OBJECTIVE_MS_BY_SERVICE)
         dropped = self.changes[-1].added if self.changes else None
         change = Change(self._version, added, dropped)
         self.changes.append(change)
@@ -63,5 +66,5 @@
 
     async def write_again(self) -> None:
         """Write the newest text as it was, for a store that has lost it."""
-        self._store.put_text(self._version, self._service_by_address)
+        self._store.put_text(self._version, self._service_by_address, _OBJECTIVE_MS_BY_SERVICE)
         await self._store.tell()
--- a/src/bronzekeel/soak/traffic.py
+++ b/src/bronzekeel/soak/traffic.py
@@ -5,6 +5,7 @@
 
 from bronzekeel.soak.callers import Flow
 from bronzekeel.soak.links import Address
+from bronzekeel.soak.shares import Caller
 from bronzekeel.soak.site import CENTRES, Site
 from bronzekeel.soak.texts import FEEDS, SHEETS, SINGLES
 
@@ -35,9 +36,10 @@
     def start(self) -> None:
         """Let all callers begin."""
         for centre in CENTRES:
-            self._run(self._ask_singles(centre))
-            for _ in range(_FEEDS_A_CENTRE):
-                self._run(self._hold_feed(centre))
+            callers = [caller for caller in self._site.callers.all if caller.data_centre == centre]
+            self._run(self._ask_singles(callers))
+            for place in range(_FEEDS_A_CENTRE):
+                self._run(self._hold_feed(callers[place % len(callers)]))
 
     def stop(self) -> None:
         """End all callers."""
@@ -49,29 +51,29 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _hold_feed(self, centre: str) -> None:
+    async def _hold_feed(self, caller: Caller) -> None:
         """Send request after request on one flow, on another one when it fails."""
         flow: Flow | None = None
         while True:
             await sleep(self._random.expovariate(1 / _FEED_PAUSE_S))
             flow = await self._site.callers.request(
                 FEEDS,
-                centre,
+                caller,
                 _FEED_BYTES,
                 flow,
                 idempotent=True,
             )
 
-    async def _ask_singles(self, centre: str) -> None:
+    async def _ask_singles(self, callers: list[Caller]) -> None:
         while True:
             await sleep(self._random.expovariate(_SINGLES_A_SECOND * self._site.burst))
             if len(self._tasks) < _MOST_IN_PROGRESS:
-                self._run(self._ask_single(centre))
+                self._run(self._ask_single(self._random.choice(callers)))
 
-    async def _ask_single(self, centre: str) -> None:
+    async def _ask_single(self, caller: Caller) -> None:
         target: Address = SHEETS if self._random.random() < _SHEET_SHARE else SINGLES
         size = self._random.randrange(_FEED_BYTES, _MOST_BYTES)
         idempotent = self._random.random() < _IDEMPOTENT_SHARE
-        flow = await self._site.callers.request(target, centre, size, idempotent=idempotent)
+        flow = await self._site.callers.request(target, caller, size, idempotent=idempotent)
         if flow is not None:
             self._site.callers.end(flow)
--- a/src/bronzekeel/soak/upstreams.py
+++ b/src/bronzekeel/soak/upstreams.py
@@ -3,6 +3,7 @@
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
 from collections import Counter, deque
 from collections.abc import Callable
+from math import prod
 from random import Random
 from time import monotonic
 from typing import Any
@@ -39,12 +40,13 @@
 
 
 class Runs:
-    """Count what ran anywhere, by request and by attempt."""
+    """Count what ran anywhere, by request and by attempt; `refused` are attempts that must not."""
 
     def __init__(self) -> None:
         """Start with nothing."""
         self.by_number: Counter[int] = Counter()
         self.attempts: set[tuple[int, int]] = set()
+        self.refused: set[tuple[int, int]] = set()
 
 
 class _End:
@@ -63,6 +65,7 @@
     """Own one upstream at an address.
 
     `alive` is off after a crash, `grey` when it answers no request, `slow` times its work.
+    Each fault that lets it work slower without harming it puts its factor into `slowed_by`.
     `drained_at` is when the store was told that it leaves; `closed_to` tells to which data
     centres a host must send nothing new.
     """
@@ -87,6 +90,7 @@
         self.alive = True
         self.grey = False
         self.slow: float = 1
+        self.slowed_by: list[float] = []
         self.drained_at: float | None = None
         self._callers = callers
         self._checks = checks
@@ -105,6 +109,11 @@
         host, port = self._transport.get_extra_info('sockname')[:2]
         return host, port
 
+    @property
+    def speed(self) -> float:
+        """Work that a slot does in a second, with one for an upstream that nothing slows."""
+        return 1 / prod(self.slowed_by)
+
     async def open(self, address: Address = ('127.0.0.1', 0)) -> None:
         """Bind an address."""
         self._transport = await bound_datagrams(self, address)
@@ -186,11 +195,15 @@
     def _begin(self, segment: EchoSegment, end: _End, request: Request) -> None:
         self._busy += 1
         self._runs.by_number[request.number] += 1
-        self._runs.attempts.add((request.number, request.attempt))
+        attempt = (request.number, request.attempt)
+        self._runs.attempts.add(attempt)
+        if attempt in self._runs.refused:
+            told = f'request {request.number} ran after it was refused'
+            self._checks.check(Promise.NOT_RUN, False, told)  # noqa: FBT003 (it ran)
         if not request.idempotent:
             once = self._runs.by_number[request.number] == 1
             self._checks.check(Promise.AT_MOST_ONCE, once, f'request {request.number} ran again')
-        work_s = self._random.uniform(*_WORK_S) * self.slow
+        work_s = self._random.uniform(*_WORK_S) * self.slow / self.speed
         get_running_loop().call_later(work_s, self._finish, segment, end, request)
 
     def _finish(self, segment: EchoSegment, end: _End, request: Request) -> None:
--- a/src/bronzekeel/standins/platform.py
+++ b/src/bronzekeel/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand in for the platform's object store, with its faults."""
 
 from asyncio import Condition, Event, sleep, wait_for
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -134,9 +135,15 @@
         place = Key.of(key)
         self.put_object(place.kind, place.name, spec_of(body))
 
-    def put_text(self, version: int, service_by_address: dict[tuple[str, int], str]) -> int:
-        """Write an operators' text that sends addresses to services."""
-        return self.put_object(TEXT_KIND, TEXT_NAME, text_spec(version, service_by_address))
+    def put_text(
+        self,
+        version: int,
+        service_by_address: dict[tuple[str, int], str],
+        objective_ms_by_service: Mapping[str, int] | None = None,
+    ) -> int:
+        """Write an operators' text that sends addresses to services with latency objectives."""
+        spec = text_spec(version, service_by_address, objective_ms_by_service)
+        return self.put_object(TEXT_KIND, TEXT_NAME, spec)
 
     def put_upstream(
         self,
