Say beside perfect sight what it would earn if open flows stay where they are

A request can only be placed when its flow opens, so perfect sight, which places each anew, is out of reach where flows are kept: how much of the distance is order and how much is placement was not told. The same queue keeps each request with the server that its flow was open to when it was asked, unless that is gone; openings go to the fastest free slot.

--- a/src/bronzekeel/bench/load_ceiling.py
+++ b/src/bronzekeel/bench/load_ceiling.py
@@ -3,33 +3,39 @@
 from collections import deque
 from collections.abc import Iterable
 
-from bronzekeel.replay.load_callers import RequestKind, Tally
+from bronzekeel.replay.load_callers import Arrival, RequestKind, Tally
 from bronzekeel.replay.load_servers import Slot
 
 
 class _Asked:
     """Hold one request of a replay."""
 
-    __slots__ = ('at_s', 'kind', 'work_s')
+    __slots__ = ('at_s', 'kind', 'server', 'work_s')
 
-    def __init__(self, kind: RequestKind, at_s: float, work_s: float) -> None:
+    def __init__(self, kind: RequestKind, arrival: Arrival) -> None:
         self.kind = kind
-        self.at_s = at_s
-        self.work_s = work_s
+        self.at_s = arrival.at_s
+        self.work_s = arrival.work_s
+        self.server = arrival.server
 
     @property
     def gain(self) -> float:
         """Worth for each second of work."""
         return self.kind.worth / self.work_s
 
+    def is_wanted(self, now: float) -> bool:
+        """Whether its caller has not given it up."""
+        return now <= self.at_s + self.kind.timeout_s
+
 
 class _FreeSlot:
     """Hold when a slot is free again."""
 
-    __slots__ = ('_slot', 'ends_s', 'free_at')
+    __slots__ = ('_slot', 'ends_s', 'free_at', 'server')
 
     def __init__(self, slot: Slot) -> None:
         self._slot = slot
+        self.server = slot.server
         self.ends_s = slot.ends_s
         self.free_at = max(slot.begins_s, 0)
 
@@ -43,7 +49,8 @@
     It knows how long each request takes: of those that can still be in time the one with the
     most worth a second of work goes first, late ones when there is no other.  Of the slots that
     are free the fastest takes it.  `way_s` is the time from a caller to an upstream and back.
-    What is asked while balancers are `dark` waits for their return.
+    What is asked while balancers are `dark` waits for their return.  With `keeps_flows` a
+    request on an open flow goes to the server of that flow for as long as it is there.
     """
 
     def __init__(
@@ -51,11 +58,14 @@
         slots: Iterable[Slot],
         way_s: float,
         dark: tuple[float, float],
+        *,
+        keeps_flows: bool = False,
     ) -> None:
         """Start with nothing asked."""
         self._slots = [_FreeSlot(slot) for slot in slots]
         self._way_s = way_s
         self._dark = dark
+        self._keeps_flows = keeps_flows
         self._waiting: list[_Asked] = []
 
     def earn(self, tallies: Iterable[Tally]) -> float:
@@ -65,24 +75,48 @@
         now: float = 0
         while (asked or self._waiting) and self._slots:
             now = self._let_in(asked, max(now, min(slot.free_at for slot in self._slots)))
-            slot = self._fastest(now)
-            if slot is None:
-                continue
-            speed = slot.speed_at(now)
-            chosen = _best(self._waiting, now, speed, self._way_s)
-            if chosen is None:
-                self._waiting.clear()
+            self._slots = [slot for slot in self._slots if max(now, slot.free_at) < slot.ends_s]
+            slot, chosen = self._next(now)
+            if slot is None or chosen is None:
+                now = self._skip(asked, now)
                 continue
             self._waiting.remove(chosen)
-            slot.free_at = now + chosen.work_s / speed
+            slot.free_at = now + chosen.work_s / slot.speed_at(now)
             earned += _worth_of(chosen, slot.free_at + self._way_s)
         return earned
 
-    def _fastest(self, now: float) -> _FreeSlot | None:
-        """Return the fastest slot that is free, forget those that are gone."""
-        self._slots = [slot for slot in self._slots if max(now, slot.free_at) < slot.ends_s]
+    def _next(self, now: float) -> tuple[_FreeSlot | None, _Asked | None]:
+        """Return the fastest free slot that has something to do, and what it does."""
         free = [slot for slot in self._slots if slot.free_at <= now]
-        return max(free, key=lambda slot: slot.speed_at(now), default=None)
+        free.sort(key=lambda slot: slot.speed_at(now), reverse=True)
+        for slot in free:
+            chosen = _best(self._waiting_for(slot), now, slot.speed_at(now), self._way_s)
+            if chosen is not None:
+                return slot, chosen
+            if not self._keeps_flows:
+                break
+        return None, None
+
+    def _waiting_for(self, slot: _FreeSlot) -> list[_Asked]:
+        """Return the requests that a slot may work on."""
+        if not self._keeps_flows:
+            return self._waiting
+        there = {other.server for other in self._slots}
+        return [
+            request
+            for request in self._waiting
+            if request.server == slot.server or request.server not in there
+        ]
+
+    def _skip(self, asked: deque[_Asked], now: float) -> float:
+        """Forget what was given up; return when there may be something to do again."""
+        self._waiting = [request for request in self._waiting if request.is_wanted(now)]
+        later = [slot.free_at for slot in self._slots if slot.free_at > now]
+        if asked:
+            later.append(self._comes_at(asked[0]))
+        if not later:
+            self._waiting.clear()
+        return min(later, default=now)
 
     def _let_in(self, asked: deque[_Asked], now: float) -> float:
         """Let all wait that come by `now`, or the next one; return when the last of them came."""
@@ -97,9 +131,7 @@
 
 
 def _asked_of(tallies: Iterable[Tally]) -> list[_Asked]:
-    return [
-        _Asked(tally.kind, at_s, work_s) for tally in tallies for at_s, work_s in tally.arrivals
-    ]
+    return [_Asked(tally.kind, arrival) for tally in tallies for arrival in tally.arrivals]
 
 
 def _worth_of(request: _Asked, answered_at: float) -> float:
@@ -116,5 +148,5 @@
     ]
     if in_time:
         return max(in_time, key=lambda request: request.gain)
-    wanted = [request for request in waiting if now <= request.at_s + request.kind.timeout_s]
+    wanted = [request for request in waiting if request.is_wanted(now)]
     return max(wanted, key=lambda request: request.gain, default=None)
--- a/src/bronzekeel/bench/load_figures.py
+++ b/src/bronzekeel/bench/load_figures.py
@@ -13,7 +13,8 @@
     `crowd_late_share` those of callers that ask for many times their share, `others_late_share`
     those of all others, by what their kind of request aims at.  `earned_share` is of
     the worth of all requests, `urgent_share` of that of the most urgent kind;
-    `earned_over_ceiling` compares with perfect sight.  `turned_away_share` is what
+    `earned_over_ceiling` compares with perfect sight, `earned_over_kept_ceiling` with one that
+    keeps open flows where the play had them; both choose step by step and may be beaten a little.  `turned_away_share` is what
     upstreams turned away, for each request that they ran.  `heartbeats_s` is how many one
     balancer sends in a second.
     """
@@ -29,6 +30,7 @@
     heartbeats_s: float
     earned_share: float
     earned_over_ceiling: float
+    earned_over_kept_ceiling: float
     urgent_share: float
     turned_away_share: float
     crowd_late_share: float
--- a/src/bronzekeel/bench/placement.py
+++ b/src/bronzekeel/bench/placement.py
@@ -161,6 +161,7 @@
 def _figures_of(load: FlowLoad, moment: Moment, played_s: float) -> PlacementFigures:
     """Return what was felt, beside perfect sight."""
     sight = PerfectSight(load.slots, 2 * CALLER_S, moment.dark)
+    kept = PerfectSight(load.slots, 2 * CALLER_S, moment.dark, keeps_flows=True)
     tallies = list(load.tally_by_kind.values())
     latencies = [latency for tally in tallies for latency in tally.latencies]
     total = sum(len(tally.arrivals) for tally in tallies)
@@ -181,6 +182,7 @@
         heartbeats_s=_heartbeats(load) / played_s,
         earned_share=earned / sum(tally.owed for tally in tallies),
         earned_over_ceiling=earned / sight.earn(tallies),
+        earned_over_kept_ceiling=earned / kept.earn(tallies),
         urgent_share=urgent.earned / max(urgent.owed, 1),
         turned_away_share=_turned_away(load) / max(sum(ran), 1),
         crowd_late_share=load.caller_list.late_share(crowd=True),
--- a/src/bronzekeel/replay/flow_load.py
+++ b/src/bronzekeel/replay/flow_load.py
@@ -13,7 +13,7 @@
 from bronzekeel.core.routing.follower import Collection
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
 from bronzekeel.replay.load_addresses import Caller, CallerList
-from bronzekeel.replay.load_callers import Callers, Flow, Request, RequestKind, Tally
+from bronzekeel.replay.load_callers import Arrival, Callers, Flow, Request, RequestKind, Tally
 from bronzekeel.replay.load_servers import Server, ServerKind, Slot
 from bronzekeel.replay.routing_fleet import FleetPolicies, RoutingFleet
 
@@ -292,7 +292,8 @@
         work_s = kind.draw_work_s(self.fleet.random)
         tally = self.tally_by_kind[kind.name]
         caller.asked += 1
-        tally.arrivals.append((self.elapsed_s, work_s))
+        server = '' if flow is None or flow.server is None else flow.server.name
+        tally.arrivals.append(Arrival(self.elapsed_s, work_s, server))
         self.callers.send(Request(tally, caller, self.fleet.now, work_s, then), flow)
 
 
--- a/src/bronzekeel/replay/load_callers.py
+++ b/src/bronzekeel/replay/load_callers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
+from typing import NamedTuple
 
 from bronzekeel.core.routing.model import FlowPacket
 from bronzekeel.core.routing.verdicts import Deliver, Reset, Verdict
@@ -77,16 +78,20 @@
         return work_s
 
 
+class Arrival(NamedTuple):
+    """Hold when a request was asked from the start, its work, and the server of its open flow."""
+
+    at_s: float
+    work_s: float
+    server: str = ''
+
+
 @dataclass(slots=True)
 class Tally:
-    """Count what callers of one kind felt.
-
-    `arrivals` are pairs of the time from the start and the work, `latencies` those of answered
-    requests, all in seconds.
-    """
+    """Count what callers of one kind felt; `latencies` are seconds of answered requests."""
 
     kind: RequestKind
-    arrivals: list[tuple[float, float]] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     latencies: list[float] = field(default_factory=list)
     answered_at: list[float] = field(default_factory=list)
     refused: int = 0
--- a/src/bronzekeel/replay/load_servers.py
+++ b/src/bronzekeel/replay/load_servers.py
@@ -29,11 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Slot:
-    """Say from when to when a slot is there, and how fast: pairs of a time and a speed."""
+    """Say when a slot of a server is there; `speeds` are pairs of a time and a speed."""
 
     begins_s: float
     ends_s: float
     speeds: tuple[tuple[float, float], ...] = ((0, 1),)
+    server: str = ''
 
     def speed_at(self, at_s: float) -> float:
         """Return the work that it does in a second at a time."""
@@ -104,7 +105,7 @@
     def slots_since(self, began_at: float) -> list[Slot]:
         """Return all slots, with times counted from `began_at`."""
         speeds = tuple((at - began_at, speed) for at, speed in self.speeds)
-        slot = Slot(self.began_at - began_at, self.left_at - began_at, speeds)
+        slot = Slot(self.began_at - began_at, self.left_at - began_at, speeds, self.name)
         return [slot for _ in range(self.kind.slots)]
 
     def take(self, work_s: float, done: Callable[[bool], None]) -> None:
--- a/tests/test_load_ceiling.py
+++ b/tests/test_load_ceiling.py
@@ -19,7 +19,7 @@
 from bronzekeel.core.routing.demand_control import DemandControl
 from bronzekeel.core.routing.model import RoutingText
 from bronzekeel.replay.flow_load import CENTRES, FlowLoad
-from bronzekeel.replay.load_callers import RequestKind, Tally
+from bronzekeel.replay.load_callers import Arrival, RequestKind, Tally
 from bronzekeel.replay.load_servers import Slot
 from bronzekeel.replay.routing_fleet import FleetPolicies
 
@@ -36,7 +36,8 @@
     dark: tuple[float, float] = _NEVER_DARK,
     kind: RequestKind = _KIND,
 ) -> float:
-    return PerfectSight(slots, 0, dark).earn([Tally(kind, asked)])
+    arrivals = [Arrival(*pair) for pair in asked]
+    return PerfectSight(slots, 0, dark).earn([Tally(kind, arrivals)])
 
 
 def _slot(speed: float = 1) -> Slot:
@@ -96,6 +97,42 @@
         self.assertEqual(1, _earned([_slot()], [(0, 0.1), (0, 2)][:1]))
 
 
+class KeptFlowsTest(TestCase):
+    """What the same queue earns where requests stay with the server of their flow."""
+
+    def test_a_request_on_an_open_flow_waits_for_its_server(self) -> None:
+        """Another slot is free; it can't have it."""
+        on_a_flow = [Arrival(0, 0.15, 'a'), Arrival(0, 0.15, 'a')]
+        self.assertEqual(1.25, self._earned(on_a_flow))
+        self.assertEqual(2, self._earned([Arrival(0, 0.15, 'a'), Arrival(0, 0.15)]))
+
+    def test_flows_of_a_server_that_is_gone_are_opened_anew(self) -> None:
+        """Symptom: a policy earns more than this ceiling.
+
+        Sequence: an upstream falls silent; callers open their flows elsewhere.
+        Cause: letting requests wait for a server that is gone.
+        """
+        asked = [Arrival(1, 0.1, 'gone')]
+        self.assertEqual(1, self._earned(asked))
+
+    def test_nothing_is_earned_by_what_waits_too_long(self) -> None:
+        """Symptom: the reckoning does not end.
+
+        Sequence: one server works for longer than a caller waits, others idle.
+        Cause: looking for the same free slot again and again.
+        """
+        asked = [Arrival(0, 3, 'a'), Arrival(0.1, 0.1, 'a')]
+        self.assertEqual(0.25, self._earned(asked[:1]))
+        self.assertEqual(1.25, self._earned([*asked, Arrival(5, 0.1, 'b')][::2]))
+        self.assertEqual(0.25, self._earned([Arrival(0, 3, 'a'), Arrival(0, 4, 'a')]))
+
+    def _earned(self, arrivals: list[Arrival]) -> float:
+        slots = [Slot(0, _ALWAYS, server=name) for name in ('a', 'b')]
+        slots.append(Slot(0, 0.5, server='gone'))
+        sight = PerfectSight(slots, 0, _NEVER_DARK, keeps_flows=True)
+        return sight.earn([Tally(_KIND, arrivals)])
+
+
 class DemandMomentsTest(TestCase):
     """What the moments of uneven demand play."""
 
@@ -149,7 +186,7 @@
     def test_some_requests_take_seven_times_as_long(self) -> None:
         """They are three in a hundred."""
         arrivals = _played(LongTail()).tally_by_kind[WATCH.name].arrivals
-        long = [work_s for _, work_s in arrivals if work_s > WATCH.work_s * 1.5]
+        long = [arrival for arrival in arrivals if arrival.work_s > WATCH.work_s * 1.5]
         self.assertAlmostEqual(0.03, len(long) / len(arrivals), delta=0.015)
 
     def test_a_crowd_asks_for_ten_times_its_share(self) -> None:
