Count for a caller of the soak only what is served while the crowd asks

A balancer that drops what all but a crowd send until the crowd is over stayed green: callers try again, and what was served afterwards counted. The crowd lasts 7 s at least, only requests to the service that is short count, and a fifth of what is due must come before it ends.

--- a/src/bronzekeel/soak/callers.py
+++ b/src/bronzekeel/soak/callers.py
@@ -162,30 +162,14 @@
         Further tries use new flows.  A request that is not idempotent is tried again only
         if its flow never opened or it was turned away.
         """
-        self._requests += 1
-        number = self._requests
-        begun_at = monotonic()
-        shares = self.shares
+        shares = self._shares_of(target)
         data_centre = caller.data_centre
         if shares is not None:
             shares.note_asked(data_centre, caller.address)
-        for attempt in range(_ATTEMPTS):
-            used = flow or self.new_flow(target, caller)
-            flow = None
-            request = Request(number, attempt, size, idempotent=idempotent)
-            outcome = await self._try(used, request)
-            self.outcomes[outcome] += 1
-            if outcome is Outcome.ANSWERED:
-                self._served.append((begun_at, True))
-                if shares is not None:
-                    shares.note_served(data_centre, caller.address)
-                return used
-            self.end(used)
-            unsure = outcome in {Outcome.BROKEN, Outcome.SILENT} and used.opened_at is not None
-            if unsure and not idempotent:
-                break
-        self._served.append((begun_at, False))
-        return None
+        found = await self._until_answered(target, caller, size, flow, idempotent=idempotent)
+        if found is not None and shares is not None and shares is self.shares:
+            shares.note_served(data_centre, caller.address)
+        return found
 
     def served_share(self, window_s: tuple[float, float]) -> float:
         """Return the share served of the requests that began so many seconds ago, from and to."""
@@ -219,6 +203,39 @@
             return Outcome.ANSWERED
         return Outcome.SILENT
 
+    async def _until_answered(
+        self,
+        target: Address,
+        caller: Caller,
+        size: int,
+        flow: Flow | None,
+        *,
+        idempotent: bool,
+    ) -> Flow | None:
+        self._requests += 1
+        number = self._requests
+        begun_at = monotonic()
+        for attempt in range(_ATTEMPTS):
+            used = flow or self.new_flow(target, caller)
+            flow = None
+            request = Request(number, attempt, size, idempotent=idempotent)
+            outcome = await self._try(used, request)
+            self.outcomes[outcome] += 1
+            if outcome is Outcome.ANSWERED:
+                self._served.append((begun_at, True))
+                return used
+            self.end(used)
+            unsure = outcome in {Outcome.BROKEN, Outcome.SILENT} and used.opened_at is not None
+            if unsure and not idempotent:
+                break
+        self._served.append((begun_at, False))
+        return None
+
+    def _shares_of(self, target: Address) -> Shares | None:
+        """Return the shares that count requests to a target now."""
+        counted = self.shares is not None and target in self.shares.targets
+        return self.shares if counted else None
+
     async def _bind(self, address: str) -> None:
         self._transports.append(await bound_datagrams(self, (address, self._port)))
 
--- a/src/bronzekeel/soak/demand_faults.py
+++ b/src/bronzekeel/soak/demand_faults.py
@@ -7,7 +7,7 @@
 from bronzekeel.soak.fault import Fault
 from bronzekeel.soak.shares import Caller, Shares
 from bronzekeel.soak.site import CENTRES, Site
-from bronzekeel.soak.texts import FEEDS
+from bronzekeel.soak.texts import FEEDS, SINGLES
 from bronzekeel.soak.upstreams import Upstream
 
 
@@ -20,9 +20,8 @@
 #: How many times slower upstreams work, so that a crowd leaves none idle.
 _SHORT = 7
 
-#: Least seconds for which a crowd asks, and seconds after it in which what was asked ends.
-_LEAST_S = 3.0
-_ENDED_S = 5.0
+#: Least seconds for which a crowd asks: others must have asked enough to judge what they got.
+_LEAST_S = 7.0
 
 #: Every third upstream works three times slower.
 _EVERY = 3
@@ -40,7 +39,7 @@
     def __init__(self, site: Site, for_s: float) -> None:
         """Choose the caller when it begins."""
         super().__init__(site, for_s)
-        self._shares = Shares()
+        self._shares = Shares({FEEDS, SINGLES})
         self._random = Random(site.random.random())
         self._tasks: list[Task[None]] = []
         self._upstreams: list[Upstream] = []
@@ -54,7 +53,7 @@
         for _ in range(_CROWD_FLOWS // 2):
             self._tasks.append(create_task(self._ask(caller, keeps=True)))
             self._tasks.append(create_task(self._ask(caller, keeps=False)))
-        await sleep(_LEAST_S)
+        await sleep(max(0, _LEAST_S - self.for_s))
 
     async def end(self) -> None:
         """End, and judge what each caller was served."""
@@ -63,7 +62,6 @@
         self.site.callers.shares = None
         _mend(self._upstreams, _SHORT)
         self.site.load_contact.end()
-        await sleep(_ENDED_S)
         self._shares.check(self.site.checks)
 
     async def _ask(self, caller: Caller, *, keeps: bool) -> None:
--- a/src/bronzekeel/soak/shares.py
+++ b/src/bronzekeel/soak/shares.py
@@ -3,12 +3,13 @@
 from collections import Counter
 
 from bronzekeel.soak.checks import Checks, Promise
+from bronzekeel.soak.links import Address
 
 
 #: Requests that are due to a caller below which nothing is judged, and the share of them that must
 #: be served: fewer than that is no chance.
-_LEAST_DUE = 12
-_SERVED_SHARE = 0.25
+_LEAST_DUE = 10
+_SERVED_SHARE = 0.2
 
 
 class Caller:
@@ -23,14 +24,15 @@
 
 
 class Shares:
-    """Count what the callers of each data centre asked for at the same time, and were served.
+    """Count what callers of each data centre asked of `targets` at the same time, and were served.
 
     Callers of one data centre use the same hosts: what strikes these, and a machine that is
     busy, strikes all of them alike.  `void` ones judge nothing.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, targets: set[Address]) -> None:
         """Start with nothing asked."""
+        self.targets = targets
         self.void = False
         self._asked_by_centre: dict[str, Counter[str]] = {}
         self._served_by_centre: dict[str, Counter[str]] = {}
@@ -43,6 +45,10 @@
         """Count a request that was served."""
         self._served_by_centre.setdefault(data_centre, Counter())[address] += 1
 
+    def served(self, data_centre: str, address: str) -> int:
+        """Return how many requests of a caller were served."""
+        return self._served_by_centre.get(data_centre, Counter())[address]
+
     def check(self, checks: Checks) -> None:
         """Check what each caller was served of what was due to it.
 
