Judge what callers are served once a crowd is felt

A balancer that drops what all others send from the second second of a crowd on stayed green: what they had been served before weighed more than a fifth of what was due. Counting begins two seconds after the crowd, and a caller is shut out below a tenth.

--- a/src/bronzekeel/soak/demand_faults.py
+++ b/src/bronzekeel/soak/demand_faults.py
@@ -20,8 +20,10 @@
 #: How many times slower upstreams work, so that a crowd leaves none idle.
 _SHORT = 7
 
-#: Least seconds for which a crowd asks: others must have asked enough to judge what they got.
-_LEAST_S = 7.0
+#: Seconds after which a crowd is felt, and least seconds from then on in which it asks: others
+#: must have asked enough to judge what they got.
+_FELT_S = 2.0
+_LEAST_S = 6.0
 
 #: Every third upstream works three times slower.
 _EVERY = 3
@@ -49,10 +51,11 @@
         caller = self.site.random.choice(self.site.callers.all)
         self.site.load_contact.begin()
         self._upstreams = _slowed(self.site.living(), _SHORT)
-        self.site.callers.shares = self._shares
         for _ in range(_CROWD_FLOWS // 2):
             self._tasks.append(create_task(self._ask(caller, keeps=True)))
             self._tasks.append(create_task(self._ask(caller, keeps=False)))
+        await sleep(_FELT_S)
+        self.site.callers.shares = self._shares
         await sleep(max(0, _LEAST_S - self.for_s))
 
     async def end(self) -> None:
--- a/src/bronzekeel/soak/shares.py
+++ b/src/bronzekeel/soak/shares.py
@@ -8,8 +8,8 @@
 
 #: Requests that are due to a caller below which nothing is judged, and the share of them that must
 #: be served: fewer than that is no chance.
-_LEAST_DUE = 10
-_SERVED_SHARE = 0.2
+_LEAST_DUE = 6
+_SERVED_SHARE = 0.1
 
 
 class Caller:
