Let a host without upstreams at home send a request to each other data centre whatever room is told

Cause: where home has no upstream that takes flows, the allowance is the limit of the pools elsewhere, and it is zero until room was told. A share of the own slots is one at least already; so is this now. Ruled out: stale entries alone (flows would have gone to them after all others). The test is red without the change (Wait in place of the upstream).

--- a/src/bronzekeel/core/routing/overflow.py
+++ b/src/bronzekeel/core/routing/overflow.py
@@ -32,6 +32,10 @@
 #: with any difference, 0.880 without claims).
 CLAIM_FACTOR = 1.0
 
+#: Requests that a balancer without upstreams at home may have in progress at each other data
+#: centre, whatever room is told.  Source: as at home, where a share is one at least.
+LEAST_ELSEWHERE = 1.0
+
 #: Interval in seconds at which room elsewhere is reckoned.  Source: that of heartbeats.
 RECKON_ROOM_S = 0.25
 
@@ -156,4 +160,4 @@
             continue
         elsewhere.allowance = allowance.requests * share_by_service[allowance.service]
         if allowance.service in homeless:
-            elsewhere.limit = elsewhere.allowance
+            elsewhere.limit = max(elsewhere.allowance, LEAST_ELSEWHERE)
--- a/src/bronzekeel/platform/annotation_names.py
+++ b/src/bronzekeel/platform/annotation_names.py
@@ -33,7 +33,7 @@
     """Stand for a type or none."""
 
 
-def TypeVar(name: str, *bounds: object, **limits: object) -> str:  # noqa: N802 (the name is the standard library's)
+def TypeVar(name: str, *bounds: object, **limits: object) -> str:  # noqa: N802 (as in typing)
     """Return what stands for a type that varies."""
     return name
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -443,6 +443,20 @@
         self.assertEqual(entry(1).name, delivered_to(chosen.decide(opening(1), 0)))
         self.assertEqual('Wait', delivered_to(chosen.decide(opening(2), 0)))
 
+    def test_callers_without_upstreams_at_home_get_one(self) -> None:
+        """Guards against refusing all callers of a data centre while other ones tell of no room.
+
+        All hosts had been killed while the store was away.  One came back with its text, but its
+        own data centre had no upstream that takes flows, and no other one had told of room yet.
+        It refused every opening for 1.2 s with nothing in progress: event 5302, `in_progress` 0,
+        `limit` 0.0.
+        """
+        state = limited_state(entry(1, data_centre='dc-b'))
+        put_in_force(state.directory, HOME, [Allowance(PORTAL, 'dc-b', 0)], {PORTAL: 0.5}, {PORTAL})
+        chosen = steering(state)
+        self.assertEqual(entry(1).name, delivered_to(chosen.decide(opening(1), 0)))
+        self.assertEqual('Wait', delivered_to(chosen.decide(opening(2), 0)))
+
     def test_what_is_not_told_any_more_is_no_room(self) -> None:
         """Symptom: flows are sent into a data centre that is cut off.
 
