--- a/src/bronzekeel/core/routing/asked_meter.py
+++ b/src/bronzekeel/core/routing/asked_meter.py
@@ -17,6 +17,20 @@
 WINDOW_S = 0.5
 _LOOKS = 5
 
+#: Seconds by which a look may come early.  Source: half of the interval at which looks are due, so
+#: that timers that fire a little unevenly skip none.
+_EARLY_S = 0.05
+
+
+class _Counts:
+    """Hold the requests and the refusals of each service up to a moment."""
+
+    __slots__ = ('at', 'by_service')
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.by_service: dict[str, tuple[int, int]] = {}
+
 
 class AskedMeter:
     """Hold what was asked of this balancer in the newest half second, None before it is known."""
@@ -26,7 +40,7 @@
     def __init__(self) -> None:
         """Start with nothing counted."""
         self.by_service: dict[str, Asked] | None = None
-        self._counts: deque[dict[str, tuple[int, int]]] = deque(maxlen=_LOOKS + 1)
+        self._counts: deque[_Counts] = deque(maxlen=_LOOKS + 1)
         self._look_at: float = 0
 
     def look(
@@ -37,20 +51,28 @@
         now: float,
     ) -> bool:
         """Take the counts of some services, some times in the window; return whether it did."""
-        if now < self._look_at:
+        if now < self._look_at - _EARLY_S:
             return False
         self._look_at = now + WINDOW_S / _LOOKS
-        counts = {
-            service: (requests_by_service.get(service, 0), _refused(directory, service))
-            for service in services
-        }
+        if self._counts and now > self._counts[-1].at + WINDOW_S:
+            self._counts.clear()
+            self.by_service = None
+        counts = _Counts(now)
+        for counted in services:
+            requests = requests_by_service.get(counted, 0)
+            counts.by_service[counted] = (requests, _refused(directory, counted))
         self._counts.append(counts)
         if len(self._counts) <= _LOOKS:
             return True
         former = self._counts[0]
         self.by_service = {
-            service: _asked(former.get(service, (0, 0)), count, _waiting(directory, service))
-            for service, count in counts.items()
+            service: _asked(
+                former.by_service.get(service, count),
+                count,
+                now - former.at,
+                _waiting(directory, service),
+            )
+            for service, count in counts.by_service.items()
         }
         return True
 
@@ -65,10 +87,15 @@
     return total
 
 
-def _asked(former: tuple[int, int], newest: tuple[int, int], waiting: int) -> Asked:
+def _asked(
+    former: tuple[int, int],
+    newest: tuple[int, int],
+    elapsed_s: float,
+    waiting: int,
+) -> Asked:
     placed = newest[0] - former[0]
     refused = newest[1] - former[1]
-    return Asked((placed + refused) / WINDOW_S, refused + waiting)
+    return Asked((placed + refused) / elapsed_s, refused + waiting)
 
 
 def _refused(directory: Directory, service: str) -> int:
--- a/src/bronzekeel/core/routing/caller_sketch.py
+++ b/src/bronzekeel/core/routing/caller_sketch.py
@@ -30,6 +30,10 @@
 #: Exponent from which weights are reckoned anew.  Source: far below what a float can hold.
 _MOST_EXPONENT = 50.0
 
+#: Exponent beyond which a weight is no float.  What goes wrong without it: a host that stood still
+#: for half an hour ends at its first packet.
+_LARGEST_EXPONENT = 700
+
 #: Faded requests below which a caller is not worth an entry.
 _LEAST_COUNT = 0.01
 
@@ -125,7 +129,7 @@
         """Return the weight of a request that comes now."""
         exponent = (now - self._since) / FADE_S
         if exponent > _MOST_EXPONENT:
-            self._begin_anew(now, exp(exponent))
+            self._begin_anew(now, exp(min(exponent, _LARGEST_EXPONENT)))
             return 1
         return exp(exponent)
 
--- a/src/bronzekeel/core/routing/load_moves.py
+++ b/src/bronzekeel/core/routing/load_moves.py
@@ -41,7 +41,7 @@
     """Reckon room at the next tick if a heartbeat may have told of another."""
     told = heartbeat.allowances is not None
     far = heartbeat.sender.data_centre != state.peers.me.data_centre
-    if heartbeat.asked_by_service and (told or far):
+    if state.controls_demand and heartbeat.asked_by_service and (told or far):
         state.room.reckon_at = 0
 
 
--- a/src/bronzekeel/core/routing/load_words.py
+++ b/src/bronzekeel/core/routing/load_words.py
@@ -26,7 +26,7 @@
     """
     if not controlled_services(state):
         return None
-    return state.demand.moving.asked.by_service or {}
+    return _largest(state.demand.moving.asked.by_service or {})
 
 
 def asked_of_centre(state: RoutingState, now: float) -> dict[str, Asked] | None:
@@ -39,9 +39,7 @@
         for peer in state.peers.living(now)
         if peer.heartbeat is not None and peer.heartbeat.asked_by_service is not None
     ]
-    total = total_of([own, *near])
-    largest = sorted(total, key=lambda service: -total[service].rate)[:MOST_ASKED]
-    return {service: total[service] for service in largest}
+    return _largest(total_of([own, *near]))
 
 
 def is_centre_lacking(state: RoutingState, now: float) -> bool:
@@ -64,3 +62,9 @@
         if peer.heartbeat is not None:
             heard.update(peer.heartbeat.hears)
     return tuple(sorted(heard))
+
+
+def _largest(asked_by_service: dict[str, Asked]) -> dict[str, Asked]:
+    """Return what is asked of the services that are asked most, ``MOST_ASKED`` at most."""
+    services = sorted(asked_by_service, key=lambda service: -asked_by_service[service].rate)
+    return {service: asked_by_service[service] for service in services[:MOST_ASKED]}
--- a/src/bronzekeel/core/routing/moving_load.py
+++ b/src/bronzekeel/core/routing/moving_load.py
@@ -196,11 +196,10 @@
         """Take the data centres that some host of the own one hears `now`."""
         for centre in heard:
             self._heard_at_by_centre[centre] = now
-        self.names = {
-            name
-            for name, heard_at in self._heard_at_by_centre.items()
-            if heard_at < now < heard_at + FORGET_S
-        }
+        for known, heard_at in list(self._heard_at_by_centre.items()):
+            if now >= heard_at + FORGET_S:
+                self._heard_at_by_centre.pop(known)
+        self.names = {name for name, at in self._heard_at_by_centre.items() if at < now}
 
 
 class SharedRoom:
--- a/src/bronzekeel/core/routing/steering.py
+++ b/src/bronzekeel/core/routing/steering.py
@@ -115,8 +115,15 @@
             yield packet, self._decide(packet, now, may_wait=False)
 
     def _refuse(self, packet: FlowPacket, request: WaitingRequest, now: float) -> Verdict:
-        """Refuse a flow that found no room here or elsewhere, unless its repeat may be open."""
-        if not request.opens or now >= request.until + LATE_REFUSAL_S:
+        """Refuse a flow that found no room here or elsewhere, unless its repeat may be open.
+
+        Openings wait longer where demand is controlled, so a repeat is dropped there: the packet
+        before it may have opened the flow through another host.  What joined an opening is dropped
+        too; its caller sends it again.
+        """
+        late = now >= request.until + LATE_REFUSAL_S
+        repeats = packet.copy > 0 and request.pool.callers is not None
+        if not request.opens or late or repeats or not packet.opens:
             return Discard(Reason.GIVEN_UP)
         moved = self._instead_of_refusal(packet, now)
         if moved is not None:
--- a/src/bronzekeel/entry/load_fields.py
+++ b/src/bronzekeel/entry/load_fields.py
@@ -1,6 +1,6 @@
 """Write and read what balancers tell each other of load that moves.
 
-The fields are left out where they have nothing to tell: a former version sends none of them.
+The fields are left out where they have nothing to tell.
 """
 
 from typing import Any
@@ -12,7 +12,12 @@
 #: Fields that list data centres.
 _CENTRES = ('hears', 'unheard')
 
-_ENDLESS = float('inf')
+#: Data centres that a field lists at most.  Source: ten times those of docs/CAPACITY.md.
+_MOST_CENTRES = 60
+
+#: Requests a second of one host or data centre at most.  Source: a thousand times what all are
+#: designed for; a figure beyond it is a mistake.
+_MOST_RATE = 280_000_000
 
 
 def encode_load(heartbeat: Heartbeat) -> dict[str, Any]:
@@ -39,11 +44,13 @@
 
 def decode_centres(name: str, listed: list[Any]) -> tuple[str, ...]:
     """Return the data centres that the field `name` lists."""
-    return tuple(label(name, centre) for centre in listed)
+    if not isinstance(listed, list):
+        raise TypeError(f'{name} is no list')
+    return tuple(label(name, centre) for centre in listed[:_MOST_CENTRES])
 
 
 def _asked_in(rate: Any, lacking: Any) -> Asked:
     asked = Asked(float(rate), int(lacking))
-    if not 0 <= asked.rate < _ENDLESS or asked.lacking < 0:
+    if not 0 <= asked.rate <= _MOST_RATE or not 0 <= asked.lacking <= _MOST_RATE:
         raise ValueError(f'{rate} and {lacking} are no figures to reckon with')
     return asked
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -143,8 +143,8 @@
             callers_by_service=decode_callers(fields.get('callers', [])),
             counts=decode_counts(fields.get('answers')),
             asked_by_service=decode_asked(fields.get('asked')),
-            hears=decode_centres('hears', fields.get('hears', ())),
-            unheard=decode_centres('unheard', fields.get('unheard', ())),
+            hears=decode_centres('hears', fields.get('hears', [])),
+            unheard=decode_centres('unheard', fields.get('unheard', [])),
             **flags,
         )
     except _FORMAT_FAULTS as fault:
--- a/tests/test_caller_shares.py
+++ b/tests/test_caller_shares.py
@@ -102,6 +102,13 @@
 class SketchTest(TestCase):
     """Count callers in constant memory."""
 
+    def test_a_host_that_stood_still_for_long(self) -> None:
+        """Guards against a weight that is no float, which ended a host after half an hour."""
+        sketch = CallerSketch(0)
+        sketch.note(1, 0, given=True)
+        sketch.note(2, FADE_S * 5000, given=True)
+        self.assertAlmostEqual(1, sketch.given_to(2, FADE_S * 5000))
+
     def test_counts_fade(self) -> None:
         """Guards against callers that pay for what they asked for long ago."""
         sketch = CallerSketch(0)
--- a/tests/test_room_elsewhere.py
+++ b/tests/test_room_elsewhere.py
@@ -122,6 +122,22 @@
         return sent
 
 
+_LOOK_S = 0.1
+_RATE = 1000
+
+
+def _rates_of(looks: list[float]) -> list[float]:
+    """Return what is told after each look while ``_RATE`` requests a second come."""
+    meter = AskedMeter()
+    directory = ready_state(entry(1)).directory
+    rates = []
+    for now in looks:
+        meter.look([PORTAL], {PORTAL: round(now * _RATE)}, directory, now)
+        if meter.by_service:
+            rates.append(meter.by_service[PORTAL].rate)
+    return rates
+
+
 class AskedTest(TestCase):
     """What callers ask for."""
 
@@ -133,16 +149,30 @@
         self._look(meter, state.directory, 0, 5)
         self.assertIsNone(meter.by_service)
         pool.refused = 7
-        self._look(meter, state.directory, 5 * 0.11, 1)
+        self._look(meter, state.directory, 5 * _LOOK_S, 1)
         told = meter.by_service or {}
-        self.assertEqual((7 / WINDOW_S, 7), (told[PORTAL].rate, told[PORTAL].lacking))
-        self._look(meter, state.directory, 6 * 0.11, 9)
+        self.assertAlmostEqual(7 / WINDOW_S, told[PORTAL].rate)
+        self.assertEqual(7, told[PORTAL].lacking)
+        self._look(meter, state.directory, 6 * _LOOK_S, 9)
         told = meter.by_service or {}
         self.assertEqual((0, 0), (told[PORTAL].rate, told[PORTAL].lacking))
 
+    def test_uneven_ticks_change_no_rate(self) -> None:
+        """Guards against ticks a little apart from a tenth of a second: twice the rate was told."""
+        for jitter_s in (0, 0.003, -0.003, 0.04):
+            with self.subTest(jitter_s=jitter_s):
+                rates = _rates_of([place * _LOOK_S + place % 2 * jitter_s for place in range(100)])
+                self.assertLess(max(rates), 1.1 * _RATE)
+                self.assertGreater(min(rates), 0.9 * _RATE)
+
+    def test_what_came_while_nobody_looked_is_no_rate(self) -> None:
+        """Guards against the requests of ten minutes told as those of half a second."""
+        rates = _rates_of([0, 0.1, 0.2, 0.3, 0.4, 0.5, 600, 600.1, 600.2, 600.3, 600.4, 600.5])
+        self.assertLess(max(rates), 1.1 * _RATE)
+
     def _look(self, meter: AskedMeter, directory: Directory, from_s: float, looks: int) -> None:
         for place in range(looks):
-            meter.look([PORTAL], {PORTAL: 0}, directory, from_s + place * 0.11)
+            meter.look([PORTAL], {PORTAL: 0}, directory, from_s + place * _LOOK_S)
 
 
 class NewsTest(TestCase):
