--- a/deploy/start.py
+++ b/deploy/start.py
@@ -3,7 +3,7 @@
 A script and not ``python3 -m``: that imports ``runpy`` and what it needs, a
 fifth of the processor time of a start.  Garbage is not collected while modules
 are imported: nothing of them is garbage, and looking for it takes a tenth of
-the processor time of a start (medians of 25 starts, 61 and 47 ms).
+the processor time of a start.
 """
 
 import gc
--- a/src/bronzekeel/core/routing/admission.py
+++ b/src/bronzekeel/core/routing/admission.py
@@ -19,9 +19,8 @@
 
 #: Share of the room that neighbours leave unused which a balancer may take beside its own.
 #: What goes wrong without it: callers spread unevenly over balancers, or a neighbour is dark,
-#: and requests wait while slots are free.  Source: the worth of days on which a third of the
-#: upstreams and half of the balancers are lost in bursts: 0.913, 0.853, 0.860 without it, 0.932,
-#: 0.868, 0.863 with half; all of it lets all balancers rush in at once when a burst begins.
+#: and requests wait while slots are free.  Source: with all of it, all balancers begin as many
+#: requests at once when a burst begins; half leaves room for the others that do the same.
 BORROWED_SHARE = 0.5
 
 #: How many times the mean of the others, and how many more, requests must be in progress at
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -221,9 +221,6 @@
         And after all balancers were dark, flows that callers have given up take the room of
         living ones.  One notices by callers that fail while most upstreams are well, and by
         a limit that is reached for half a second after a start.
-
-        Worth of a day on which a quarter of the upstreams crash while the store is silent, mean of
-        three seeds: 0.895 without it, 0.910 with it.
         """
         for opening in _older(self._opening_by_key, now - LEAST_PATIENCE_S):
             if (
--- a/src/bronzekeel/core/routing/overflow.py
+++ b/src/bronzekeel/core/routing/overflow.py
@@ -18,9 +18,8 @@
 
 
 #: Requests in progress a slot up to which a data centre has room for others' callers: a little
-#: less than those from which its own callers wait.  Source: five times the usual requests in
-#: one data centre of three, three deployments, earn 0.925, 0.874 and 0.851 with 1.0, 0.934, 0.897
-#: and 0.879 with 1.75, and 0.916, 0.851 and 0.821 if all flows wait at home.
+#: less than those from which its own callers wait.  Source: a flow that crosses must find a slot
+#: that is about to be free, and own callers go first.
 LOAD_WITH_ROOM = 1.75
 
 #: Requests in progress a slot from which a data centre may look for room elsewhere itself.
@@ -28,8 +27,7 @@
 
 #: How many times its own slots a data centre must lack to claim others'.  What goes wrong with
 #: less: data centres that differ a little send each other flows in every overload, and what
-#: is saved in one is lost in the next (three times the usual for five seconds: worth 0.850
-#: with any difference, 0.880 without claims).
+#: is saved in one is lost in the next.
 CLAIM_FACTOR = 1.0
 
 #: Requests that a balancer without upstreams at home may have in progress at each other data
--- a/src/bronzekeel/core/routing/placement.py
+++ b/src/bronzekeel/core/routing/placement.py
@@ -28,10 +28,6 @@
     this balancer has in progress at each upstream keeps new flows from busy ones;
     among equals the one that was asked for least gets them, so that upstreams of
     one kind get equal work.  Another data centre gets them when the own one has none.
-
-    Equal upstreams, forty seconds of usual load, three and twelve balancers a data
-    centre (`bronzekeel bench placement`, mean of eight seeds): the busiest has 1.04
-    and 1.08 times the mean; with open flows as a part of load it was 1.12 and 1.26 (four).
     """
 
     #: How many times its share of the requests a data centre keeps before it sends the
--- a/src/bronzekeel/core/routing/pools.py
+++ b/src/bronzekeel/core/routing/pools.py
@@ -7,10 +7,9 @@
 NO_LIMIT = float('inf')
 
 #: Requests in progress for each slot of the upstreams from which further ones wait: one that
-#: is worked on, and one that begins the moment it ends.  Source: `bronzekeel bench placement`,
-#: twelve balancers a data centre: at nine tenths of what upstreams can do 0.6% of answers are
-#: late with 1.75 and 0.1% with 2; at three times the usual 0.889 and 0.879 of what perfect
-#: sight earns is earned, and less with more.
+#: is worked on, and one that begins the moment it ends.  Source: with one and a half
+#: a slot idles for the way of the next request; with more, answers wait in queues at upstreams,
+#: where nothing can be put before them.
 REQUESTS_A_SLOT = 2.0
 
 #: Weights of the newest flow in the mean time on the way and in its deviation, and how many
--- a/src/bronzekeel/core/routing/shared_load.py
+++ b/src/bronzekeel/core/routing/shared_load.py
@@ -6,10 +6,6 @@
 One notices by callers who wait while other upstreams idle, most in a burst and
 with many balancers.  So peers' word counts as a mean, which decides between data
 centres, and singles out only those that are far beyond the mean: slow or grey ones.
-
-Single requests tripled for three seconds, three and twelve balancers a data centre
-(`bronzekeel bench placement`, mean of eight seeds): 0.01 and 0.02 percent of requests
-are late, added up it was 4.3 and 22 percent.
 """
 
 from collections.abc import Mapping
--- a/src/bronzekeel/core/routing/waiting.py
+++ b/src/bronzekeel/core/routing/waiting.py
@@ -5,10 +5,6 @@
 ask again at once.  One notices by answers that are all late while upstreams turn away
 a third of what reaches them.  Held here, requests go on in the order that serves callers
 best, and an upstream gets one when it is about to have a slot.
-
-Three deployments of ten upstreams, 2.6 to 3.6 times the usual requests for five seconds:
-0.76, 0.55 and 0.48 of the worth is earned without it, 0.86, 0.76 and 0.76 with it
-(docs/DECISIONS.md, "Rounds").
 """
 
 from abc import ABC, abstractmethod
@@ -97,9 +93,6 @@
     as long as all that came before it, and all answers are late; newest first, most are in
     time, and the few that are late already become later.  The published source is "Fail
     at Scale" (Maurer, ACM Queue 13(8), 2015), which calls it adaptive LIFO.
-
-    Worth on days of bursts, three deployments: 0.77, 0.66 and 0.65 oldest first, 0.86, 0.76
-    and 0.77 newest first.
     """
 
     def rank(self, request: WaitingRequest, number: int) -> tuple[int, int]:
