Estimate the noise of learned speeds from blocks longer than a queue

Upstreams of normal speed received one third to two thirds of their share of new flows for several seconds after serving long requests.

Cause: a speed is accepted when the work of an upstream differs from the mean by 5.5 standard errors, and the standard error was too small. Requests queued behind a long one wait together, so their answer times are correlated, and the mean of a window varies more than independent answers would. This factor, the noise, was estimated by comparing a 0.75 s window with an 8 s window, with each squared error capped at 9. A single queue lasts longer than the short window.

Change: answers of each upstream are grouped into blocks of 2 s. The noise is estimated from the distance between the mean of a block and the long window preceding it. Each squared error is capped at 100, so that a change in a single upstream does not count as noise. Until 40 blocks have been seen, the noise is assumed to be 6.

test_a_long_tail_teaches_nothing is unchanged and failed before this change.

Cost: slowdowns are detected later.

--- a/src/bronzekeel/core/routing/capacities.py
+++ b/src/bronzekeel/core/routing/capacities.py
@@ -61,14 +61,21 @@
 #: before that was seen.  What goes wrong without it: a few long requests take all slots of an
 #: upstream, those behind them wait together, and by their number it is sure that it is slow.
 _LEAST_NOISE = 1.0
-_FIRST_NOISE = 2.5
+_FIRST_NOISE = 6.0
 
-#: Squared standard errors that one upstream counts for at most: one that has changed is no noise.
-_MOST_NOISE = 9.0
+#: Upper limit on the squared standard errors that one block contributes to the noise, so that a
+#: change in the speed of one upstream raises it little.
+_MOST_NOISE = 100.0
 
-#: Weight of the newest look at one upstream in the noise.  Source: windows of fifteen upstreams
-#: are new each second, and a few hundred of them make a variance.
-_NOISE_WEIGHT = 0.002
+#: Minimum length in seconds of a block of answers whose mean is compared with the long window.
+#: Shorter blocks split the correlated answers of one queue and underestimate the noise.
+_BLOCK_S = 2.0
+
+#: Number of blocks below which `_FIRST_NOISE` is used instead of the measured noise.
+_FEWEST_BLOCKS = 40
+
+#: Minimum weight of the newest block in the moving average of the noise.
+_LEAST_BLOCK_WEIGHT = 0.005
 
 #: Share by which the work must differ at least.  Source: a fifth of the capacity is no more than
 #: what chance makes of the load within a second.
@@ -98,30 +105,41 @@
 
 
 class ServiceWork:
-    """Hold the mean seconds of an answer of one pool, and the variance of its time in means.
+    """Track the mean answer time of one pool, and the variance of answer times relative to it."""
 
-    `noise` is how many times more the means of windows vary than those of single answers would.
-    """
-
-    __slots__ = ('_answers', 'mean_s', 'noise', 'variance')
+    __slots__ = ('_answers', '_blocks', '_noise', 'mean_s', 'variance')
 
     def __init__(self) -> None:
         """Start with exponential work of no length."""
         self._answers = 0
+        self._blocks = 0
+        self._noise: float = 1
         self.mean_s: float = 0
         self.variance: float = 1
-        self.noise = _FIRST_NOISE
+
+    @property
+    def noise(self) -> float:
+        """Ratio of the variance of block means to that expected of independent answers."""
+        if self._blocks < _FEWEST_BLOCKS:
+            return _FIRST_NOISE
+        return max(self._noise, _LEAST_NOISE)
 
     def error(self, *windows: AnswerWindow) -> float:
         """Return the standard error of the difference of some windows."""
         inverse = sum(1 / window.evidence for window in windows)
         return sqrt(self.variance * self.noise * inverse)
 
-    def note_difference(self, errors: float) -> None:
-        """Take by how many standard errors two windows of an upstream differ."""
-        seen = min(errors * errors, _MOST_NOISE) * self.noise
-        self.noise += (seen - self.noise) * _NOISE_WEIGHT
-        self.noise = max(self.noise, _LEAST_NOISE)
+    def update_noise(self, block: 'AnswerBlock') -> None:
+        """Update the noise with the squared difference of a block from its baseline.
+
+        The difference is in standard errors, as if the answers were independent.
+        """
+        difference = block.means / block.answers - block.baseline_mean
+        inverse = 1 / block.answers + 1 / block.baseline_evidence
+        squared_errors = difference * difference / self.variance / inverse
+        self._blocks += 1
+        weight = max(1 / self._blocks, _LEAST_BLOCK_WEIGHT)
+        self._noise += (min(squared_errors, _MOST_NOISE) - self._noise) * weight
 
     def take(self, answer: Answer) -> None:
         """Take one answer of this host's callers."""
@@ -133,27 +151,60 @@
         self.variance = max(self.variance, _LEAST_VARIANCE)
 
 
+class AnswerBlock:
+    """Accumulate consecutive answers of one upstream, with a baseline from before the first."""
+
+    __slots__ = ('answers', 'baseline_evidence', 'baseline_mean', 'means', 'seconds')
+
+    def __init__(self, window: AnswerWindow) -> None:
+        """Start an empty block whose baseline is the current mean of `window`."""
+        self.answers = 0
+        self.means: float = 0
+        self.seconds: float = 0
+        self.baseline_evidence = window.evidence if window.told else 0
+        self.baseline_mean = window.means / window.answers if window.told else 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the block has reached its minimum length."""
+        return self.seconds >= _BLOCK_S
+
+    @property
+    def is_comparable(self) -> bool:
+        """Whether both the block and its baseline have answers."""
+        return self.answers > 0 and self.baseline_evidence > 0
+
+
 class LearnedWork:
     """Hold what was learned of one upstream; `believed` tells that it differs beyond chance."""
 
-    __slots__ = ('believed', 'long', 'short', 'upstream')
+    __slots__ = ('believed', 'block', 'long', 'short', 'upstream')
 
     def __init__(self, upstream: Upstream) -> None:
         """Start with nothing."""
         self.upstream = upstream
         self.short = AnswerWindow(SHORT_S)
         self.long = AnswerWindow(LONG_S)
+        self.block = AnswerBlock(self.long)
         self.believed = False
 
     def add(self, answers: int, means: float) -> None:
         """Add answers of any host."""
         self.short.add(answers, means)
         self.long.add(answers, means)
+        self.block.answers += answers
+        self.block.means += means
 
     def fade(self, elapsed_s: float) -> None:
         """Let some seconds pass."""
         self.short.fade(elapsed_s)
         self.long.fade(elapsed_s)
+        self.block.seconds += elapsed_s
+
+    def replace_long_window(self) -> None:
+        """Replace the long window by the short one, and start a block with the new baseline."""
+        self.long.replace_by(self.short)
+        self.block = AnswerBlock(self.long)
 
 
 class Capacities:
@@ -278,6 +329,7 @@
         work = self._work_by_pool.get(pool)
         if work is None:
             return []
+        _update_noise(learned_here, work)
         _follow_changes(learned_here, work)
         effects: list[Effect] = []
         mean = _mean_work([learned.long for learned in learned_here], learned_here, work)
@@ -316,6 +368,16 @@
     return newer / usual - 1 if newer > usual else log(newer / usual)
 
 
+def _update_noise(learned_here: list[LearnedWork], work: ServiceWork) -> None:
+    """Update the noise with full blocks of upstreams not believed to differ; start new blocks."""
+    for learned in learned_here:
+        if not learned.block.is_full:
+            continue
+        if learned.block.is_comparable and not learned.believed:
+            work.update_noise(learned.block)
+        learned.block = AnswerBlock(learned.long)
+
+
 def _follow_changes(learned_here: list[LearnedWork], work: ServiceWork) -> None:
     """Let the short window replace the long one of upstreams that have changed."""
     short_mean = _mean_work([learned.short for learned in learned_here], learned_here, work)
@@ -328,16 +390,15 @@
         newest = _work_of(learned.short, learned, work) / short_mean
         usual = _work_of(learned.long, learned, work) / long_mean
         if _has_changed(learned, work, newest, usual):
-            learned.long.replace_by(learned.short)
+            learned.replace_long_window()
 
 
 def _has_changed(learned: LearnedWork, work: ServiceWork, newest: float, usual: float) -> bool:
-    """Whether an upstream's newest work tells more than what was usual, and note how they differ.
+    """Whether the short window of an upstream should replace its long window.
 
     One that has come to differ is believed to.
     """
     errors = _difference(newest, usual) / work.error(learned.short, learned.long)
-    work.note_difference(errors)
     beyond = _difference(newest, 1) / work.error(learned.short)
     if learned.believed:
         returns = abs(newest - 1) < abs(usual - 1)
