Detect the start and end of slowdowns with sequential tests

New flows of callers went to an upstream that had become five times slower for another 1.6 to 3.7 s, and an upstream that had recovered was avoided for another 3.7 to 24 s.

Cause, for start and end alike: a change was detected when the mean of a window with a half-life of 0.75 s was far enough from another mean. - The window has to fill first. - An answer counts for at most five means, so a request that hangs for half a second carries no more weight than one of five means. - A request in progress carries no weight until it ends or half a second has passed. - A neighbour reports what it saw up to one second later. - At the end of a slowdown the short window still contained answers from the slowdown and then replaced the long window, so the upstream was taken for slow again.

Change: - Each answer is weighed immediately by a log-likelihood ratio: its likelihood under the distribution of all answers of the pool stretched two and four times, against the unstretched distribution (answer_times). The distribution is the observed one, so only ranks matter, and a long tail with its queues is weak evidence. - Cumulative sums (CUSUM) of the ratios decide on the start and the end of a slowdown (slowdowns). Only answers since the last change stay in the long window. - Requests that have been in progress for two means or more are reported in heartbeats, in a separate field that is absent when there are none. They count as censored answers until the next heartbeat. - Fast and slow answers of one upstream are reported separately. An answer beyond four means is soft-clipped instead of cut at five means, so it can be distinguished from a longer one. - While all upstreams are slower, more evidence is required. Start and end are two known failures with one cause and share the sums, so they are fixed together.

Tests: the simulated hosts now draw the host when a request is sent, not when it is answered, and pass requests in progress to the hosts, as the flow table does.

--- a/src/bronzekeel/core/routing/answer_counts.py
+++ b/src/bronzekeel/core/routing/answer_counts.py
@@ -8,7 +8,7 @@
 requests, or one of them a request of a minute, and flows leave it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bronzekeel.core.routing.model import Upstream, UpstreamEntry
 
@@ -17,6 +17,14 @@
 #: five times slower is told apart by 0.8 of that, and of exponential work 0.7% is longer.
 MOST_MEANS = 5.0
 
+#: Times the mean above which the time of an answer is soft-clipped towards `MOST_MEANS`.
+_CLIP_START_MEANS = 4.0
+_CLIP_RANGE_MEANS = MOST_MEANS - _CLIP_START_MEANS
+
+#: Least distance from `MOST_MEANS` when soft clipping is inverted: the resolution of means in
+#: messages.
+_LEAST_CLIP_MARGIN = 0.015625
+
 #: Share of the mean of its kind below which an answer is no work: an upstream without a free place
 #: turns requests away at once.  Source: of exponential work 5% is shorter.
 LEAST_MEANS = 0.05
@@ -32,10 +40,17 @@
 #: half a megabyte; a host without a mean of a kind leaves out its first answers.
 _MOST_KINDS = 4000
 
-#: Upstreams that one message tells of at most, the most changed first.  Source: a host with ten
+#: Counts of upstreams that one message tells at most, the most answers first.  Source: a host with ten
 #: requests a second, told each second, has no more to tell of.
 MOST_TOLD = 16
 
+#: Upstreams with pending requests that one message tells of at most.
+MOST_PENDING_TOLD = 8
+
+#: Means of its kind from which a request in progress counts as pending.  One in seven requests of
+#: exponential work takes as long; shorter ones are weak evidence.
+LEAST_PENDING_MEANS = 2.0
+
 #: Answers, and means, that one message tells of one upstream at most: a byte, and two bytes.
 MOST_ANSWERS_TOLD = 255
 MOST_MEANS_TOLD = 1023
@@ -57,18 +72,37 @@
         self.means = means
 
 
+class PendingRequest:
+    """Hold a request in progress at an upstream."""
+
+    __slots__ = ('asked_at', 'kind', 'upstream')
+
+    def __init__(self, upstream: Upstream, kind: bytes, asked_at: float) -> None:
+        """Keep the upstream, the kind of the request and when it was sent."""
+        self.upstream = upstream
+        self.kind = kind
+        self.asked_at = asked_at
+
+
 class ToldCounts:
     """Hold what a host counted since it last told.
 
-    `told_ms` is its steady clock in milliseconds, which orders its messages.
+    `told_ms` is its steady clock in milliseconds, which orders its messages.  `pending` counts the
+    requests in progress for at least `LEAST_PENDING_MEANS`, with the sums of their ages in means.
     """
 
-    __slots__ = ('counts', 'told_ms')
+    __slots__ = ('counts', 'pending', 'told_ms')
 
-    def __init__(self, told_ms: int, counts: tuple[AnswerCount, ...]) -> None:
+    def __init__(
+        self,
+        told_ms: int,
+        counts: tuple[AnswerCount, ...],
+        pending: tuple[AnswerCount, ...] = (),
+    ) -> None:
         """Keep the counts as they are sent."""
         self.told_ms = told_ms
         self.counts = counts
+        self.pending = pending
 
 
 class KindMean:
@@ -82,6 +116,11 @@
         self._left_out = 0
         self._mean_s: float = 0
 
+    @property
+    def settled_mean_s(self) -> float:
+        """Mean seconds, zero while there are too few answers."""
+        return self._mean_s if self._answers >= _SETTLED_ANSWERS else 0
+
     def measure(self, work_s: float) -> float | None:
         """Take one answer; return its time in means, None if it counts for nothing.
 
@@ -89,6 +128,7 @@
         kind came late, its mean is many times its work, and nothing is learned from it any more.
         """
         settled = self._answers >= _SETTLED_ANSWERS and self._mean_s > 0
+        means = work_s / self._mean_s if settled else 0
         if settled and work_s < LEAST_MEANS * self._mean_s:
             self._left_out += 1
             if self._left_out >= _SETTLED_ANSWERS:
@@ -98,10 +138,9 @@
         self._left_out = 0
         if settled:
             work_s = min(work_s, MOST_MEANS * self._mean_s)
-        mean_s = self._mean_s
         self._answers = min(self._answers + 1, _MOST_ANSWERS)
-        self._mean_s += (work_s - mean_s) / self._answers
-        return work_s / mean_s if settled else None
+        self._mean_s += (work_s - self._mean_s) / self._answers
+        return soft_clip(means) if settled else None
 
 
 class Answer:
@@ -119,17 +158,27 @@
 class AnswerCounts:
     """Count the answers of upstreams, and what of it neighbours are still to be told.
 
-    Answers to requests that began before `valid_from` count for nothing.
+    Answers to requests that began before `valid_from` count for nothing.  Answers faster and
+    slower than the mean are counted separately, since neighbours weigh each answer by the mean of
+    its count.  `pending_by_upstream` counts the requests in progress for at least
+    `LEAST_PENDING_MEANS`.
     """
 
-    __slots__ = ('_mean_by_kind', '_taken', '_untold_by_upstream', 'valid_from')
+    __slots__ = (
+        '_mean_by_kind',
+        '_taken',
+        '_untold_by_upstream_and_speed',
+        'pending_by_upstream',
+        'valid_from',
+    )
 
     def __init__(self) -> None:
         """Start with none."""
         self.valid_from: float = 0
         self._taken: list[Answer] = []
         self._mean_by_kind: dict[bytes, KindMean] = {}
-        self._untold_by_upstream: dict[Upstream, AnswerCount] = {}
+        self._untold_by_upstream_and_speed: dict[tuple[Upstream, bool], AnswerCount] = {}
+        self.pending_by_upstream: dict[Upstream, AnswerCount] = {}
 
     def note(self, upstream: Upstream, kind: bytes, asked_at: float, now: float) -> None:
         """Take the answer of an upstream to a request of some kind.
@@ -145,13 +194,28 @@
         if means is None:
             return
         self._taken.append(Answer(upstream, work_s, means))
-        untold = self._untold_by_upstream.get(upstream)
+        key = (upstream, means > 1)
+        untold = self._untold_by_upstream_and_speed.get(key)
         if untold is None:
-            untold = AnswerCount(upstream.entry.short_number, start_of(upstream.entry))
-            self._untold_by_upstream[upstream] = untold
+            untold = _empty_count(upstream)
+            self._untold_by_upstream_and_speed[key] = untold
         untold.answers += 1
         untold.means += means
 
+    def note_pending(self, requests: Iterable[PendingRequest], now: float) -> None:
+        """Replace the pending requests, given all requests in progress."""
+        self.pending_by_upstream = {}
+        for request in requests:
+            upstream = request.upstream
+            if now < upstream.warm_at or request.asked_at < self.valid_from:
+                continue
+            means = self._age_in_means(request, now)
+            if means < LEAST_PENDING_MEANS:
+                continue
+            pending = self.pending_by_upstream.setdefault(upstream, _empty_count(upstream))
+            pending.answers += 1
+            pending.means += soft_clip(means)
+
     def take(self) -> list[Answer]:
         """Return the answers since the last call."""
         taken = self._taken
@@ -160,20 +224,47 @@
 
     def tell(self, now: float) -> ToldCounts | None:
         """Return what the next message tells, None if there is nothing; it is told once."""
-        if not self._untold_by_upstream:
+        if not self._untold_by_upstream_and_speed and not self.pending_by_upstream:
             return None
-        changed = sorted(self._untold_by_upstream, key=self._untold_answers, reverse=True)
-        told = [self._untold_by_upstream.pop(upstream) for upstream in changed[:MOST_TOLD]]
-        return ToldCounts(ms_of(now), tuple(map(_bounded, told)))
+        changed = sorted(self._untold_by_upstream_and_speed, key=self._untold_answers, reverse=True)
+        told = [self._untold_by_upstream_and_speed.pop(key) for key in changed[:MOST_TOLD]]
+        pending = sorted(self.pending_by_upstream.values(), key=_means_of, reverse=True)
+        return ToldCounts(
+            ms_of(now),
+            tuple(map(_bounded, told)),
+            tuple(map(_bounded, pending[:MOST_PENDING_TOLD])),
+        )
 
     def keep(self, is_known: Callable[[Upstream], bool]) -> None:
         """Forget what is untold of upstreams that are not known any more."""
-        for upstream in list(self._untold_by_upstream):
+        for upstream, is_slow in list(self._untold_by_upstream_and_speed):
             if not is_known(upstream):
-                self._untold_by_upstream.pop(upstream)
+                self._untold_by_upstream_and_speed.pop((upstream, is_slow))
+
+    def _age_in_means(self, request: PendingRequest, now: float) -> float:
+        """Return the age of a request in means of its kind, zero while the mean is not settled."""
+        mean = self._mean_by_kind.get(request.kind)
+        if mean is None or not mean.settled_mean_s:
+            return 0
+        return (now - request.asked_at - request.upstream.pool.way_s) / mean.settled_mean_s
+
+    def _untold_answers(self, key: tuple[Upstream, bool]) -> int:
+        return self._untold_by_upstream_and_speed[key].answers
+
+
+def soft_clip(means: float) -> float:
+    """Return a time in means, compressed above `_CLIP_START_MEANS` to stay below ``MOST_MEANS``."""
+    if means <= _CLIP_START_MEANS:
+        return means
+    return MOST_MEANS - _CLIP_RANGE_MEANS**2 / (means - _CLIP_START_MEANS + _CLIP_RANGE_MEANS)
 
-    def _untold_answers(self, upstream: Upstream) -> int:
-        return self._untold_by_upstream[upstream].answers
+
+def invert_soft_clip(clipped: float) -> float:
+    """Return the time in means that was soft-clipped to `clipped`."""
+    if clipped <= _CLIP_START_MEANS:
+        return clipped
+    margin = max(MOST_MEANS - clipped, _LEAST_CLIP_MARGIN)
+    return _CLIP_START_MEANS - _CLIP_RANGE_MEANS + _CLIP_RANGE_MEANS**2 / margin
 
 
 def start_of(entry: UpstreamEntry) -> int:
@@ -186,6 +277,14 @@
     return int(now * _MS) % CLOCK_RANGE
 
 
+def _empty_count(upstream: Upstream) -> AnswerCount:
+    return AnswerCount(upstream.entry.short_number, start_of(upstream.entry))
+
+
+def _means_of(count: AnswerCount) -> float:
+    return count.means
+
+
 def _bounded(count: AnswerCount) -> AnswerCount:
     """Return a count that fits into its place; its mean stays."""
     if count.answers <= MOST_ANSWERS_TOLD and count.means <= MOST_MEANS_TOLD:
--- a/src/bronzekeel/core/routing/flows.py
+++ b/src/bronzekeel/core/routing/flows.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 
-from bronzekeel.core.routing.answer_counts import AnswerCounts
+from bronzekeel.core.routing.answer_counts import AnswerCounts, PendingRequest
 from bronzekeel.core.routing.flow_lengths import FlowLengths
 from bronzekeel.core.routing.histograms import Histogram
 from bronzekeel.core.routing.model import FlowPacket, Upstream
@@ -232,6 +232,16 @@
             _leave_pool(opening)
             self.note_unanswered(opening, now)
 
+    def pending_requests(self) -> list[PendingRequest]:
+        """Return the requests in progress at upstreams whose demand is controlled."""
+        pending: list[PendingRequest] = []
+        for flow in self._busy_by_key.values():
+            upstream = flow.upstream
+            if upstream is None or not upstream.pool.controlled or flow.sequence < 0:
+                continue
+            pending.append(PendingRequest(upstream, flow.key[_ROUTE_PLACE:], flow.asked_at))
+        return pending
+
     def expire(self, idle_s: float, now: float) -> None:
         """Forget silent flows, and requests whose end was not seen."""
         self.expire_openings(now)
--- a/src/bronzekeel/core/routing/learning.py
+++ b/src/bronzekeel/core/routing/learning.py
@@ -13,6 +13,8 @@
         if pool.controlled and not controlled:
             state.demand.capacities.hurry()
         pool.controlled = controlled
+    if controlled:
+        state.demand.capacities.counts.note_pending(state.flows.pending_requests(), now)
     state.demand.capacities.forget_hosts(state.peers.by_name)
     return state.demand.capacities.reckon(state.directory, home, now)
 
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -141,7 +141,7 @@
                 int(number): int(unanswered) for number, unanswered in fields['unanswered']
             },
             callers_by_service=decode_callers(fields.get('callers', [])),
-            counts=decode_counts(fields.get('answers')),
+            counts=decode_counts(fields),
             asked_by_service=decode_asked(fields.get('asked')),
             hears=decode_centres('hears', fields.get('hears', [])),
             unheard=decode_centres('unheard', fields.get('unheard', [])),
@@ -152,7 +152,7 @@
 
 
 def _counts_out(heartbeat: Heartbeat) -> dict[str, str]:
-    return {} if heartbeat.counts is None else {'answers': encode_counts(heartbeat.counts)}
+    return {} if heartbeat.counts is None else encode_counts(heartbeat.counts)
 
 
 def encode_view(view: View) -> bytes:
--- a/tests/test_learned_capacity.py
+++ b/tests/test_learned_capacity.py
@@ -1,7 +1,7 @@
 """Test what is learned of upstreams from answers, and where new flows go by it."""
 
 from collections import Counter
-from operator import itemgetter
+from operator import attrgetter
 from random import Random
 from unittest import TestCase
 
@@ -11,9 +11,11 @@
     AnswerCount,
     AnswerCounts,
     KindMean,
+    PendingRequest,
     ToldCounts,
     start_of,
 )
+from bronzekeel.core.routing.answer_times import AnswerTimes
 from bronzekeel.core.routing.answer_windows import AnswerWindow, busy_slots
 from bronzekeel.core.routing.capacities import LONG_S, Capacities
 from bronzekeel.core.routing.directory import Directory
@@ -25,6 +27,11 @@
 from bronzekeel.core.routing.model import Upstream
 from bronzekeel.core.routing.placement_by_capacity import SharesByCapacity
 from bronzekeel.core.routing.reducer import reduce
+from bronzekeel.core.routing.slowdowns import (
+    SLOWDOWN_START_NATS,
+    SlowdownDetector,
+    median_evidence,
+)
 from bronzekeel.core.routing.state import RoutingState
 from bronzekeel.entry.metrics import metrics_of
 from bronzekeel.entry.peer_messages import (
@@ -88,6 +95,86 @@
         self.assertAlmostEqual(1, counted[-1] or 0, delta=0.5)
 
 
+class AnswerTimesTest(TestCase):
+    """The evidence of single answers for a slowdown."""
+
+    def setUp(self) -> None:
+        """Start with an empty distribution."""
+        self.times = AnswerTimes()
+        self.random = Random(1)
+
+    def test_too_few_answers_give_no_evidence(self) -> None:
+        """Guards against evidence from a distribution of the first answers after a start."""
+        self._add([1 for _ in range(100)])
+        self.assertEqual([0, 0], self.times.evidence(8))
+
+    def test_a_slow_answer_is_evidence(self) -> None:
+        """Guards against slowdowns that are detected only from the mean of many answers."""
+        self._add([self.random.expovariate(1) for _ in range(2000)])
+        self.assertGreater(min(self.times.evidence(4)), 1)
+        self.assertLess(max(self.times.evidence(0.5)), 0)
+        self.assertGreater(self.times.pending_evidence(4), 1)
+
+    def test_a_long_answer_of_a_long_tail_is_weak_evidence(self) -> None:
+        """Guards against a slowdown that is detected from the longest requests of normal work."""
+        self._add(self.random.choices((20, 0.5), (1, 19), k=2000))
+        self.assertLess(max(self.times.evidence(20)), 1)
+        self.assertLess(self.times.pending_evidence(20), 1)
+        self.assertGreater(self.times.evidence(2)[-1], 2)
+
+    def test_a_slowdown_of_the_pool_weakens_evidence(self) -> None:
+        """Guards against slowdowns that are detected at all upstreams of an overloaded pool."""
+        self._add([self.random.expovariate(1) for _ in range(2000)])
+        before = self.times.evidence(6)[-1]
+        self.times.fade(1)
+        self._add([self.random.expovariate(0.2) for _ in range(500)])
+        self.assertLess(self.times.evidence(6)[-1], before / 2)
+
+    def _add(self, times: list[float]) -> None:
+        for time in times:
+            self.times.add(time)
+        self.times.fade(0.1)
+
+
+class SlowdownDetectorTest(TestCase):
+    """The start and the end of a slowdown of one upstream."""
+
+    def test_evidence_against_a_slowdown_does_not_accumulate(self) -> None:
+        """Guards against late detection after a long time at normal speed."""
+        detector = SlowdownDetector()
+        detector.add([-1, -2], 1000)
+        detector.add([2, 4], 3)
+        self.assertEqual(9, detector.total_evidence)
+
+    def test_pending_requests_delay_the_end(self) -> None:
+        """Guards against a slowdown that ends while requests at the upstream are unanswered."""
+        detector = SlowdownDetector()
+        detector.add([2, 4], 5)
+        detector.add([-1, -2], 10)
+        self.assertTrue(detector.has_ended)
+        detector.pending_evidence = 30
+        self.assertFalse(detector.has_ended)
+
+    def test_a_slowdown_of_all_upstreams_is_not_detected(self) -> None:
+        """Guards against upstreams that are avoided in turn while the whole pool is overloaded."""
+        detectors = [SlowdownDetector() for _ in range(5)]
+        for place, detector in enumerate(detectors):
+            detector.add([2, 4], 10 + place)
+        for detector in detectors:
+            self.assertLess(
+                detector.total_evidence - median_evidence(detectors), SLOWDOWN_START_NATS
+            )
+
+
+class _SentRequest:
+    """Hold a request that a host sent to an upstream, and when the host sees its end."""
+
+    def __init__(self, host: Capacities, request: PendingRequest, seen_at: float) -> None:
+        self.host = host
+        self.request = request
+        self.seen_at = seen_at
+
+
 class _Hosts:
     """Play answers of upstreams to hosts that tell each other what they saw."""
 
@@ -100,7 +187,7 @@
         self.hears = True
         self.rate: float = _RATE
         self.free_at_by_name: dict[str, list[float]] = {}
-        self.answers: list[tuple[float, float, Upstream, bytes]] = []
+        self.answers: list[_SentRequest] = []
         self.lines: Counter[LogNumber] = Counter()
         for number in range(1, upstreams + 1):
             self.directory.remember(entry(number, slots=2), 0)
@@ -129,6 +216,7 @@
             for upstream in self.upstreams:
                 self._ask(upstream)
             self._answer()
+            self._note_pending()
             self._tell()
             for host in self.hosts:
                 self._note(host.reckon(self.directory, 'dc-a', self.now))
@@ -149,15 +237,31 @@
             if begun_at < asked_at + _QUEUE_S:
                 free_at[free_at.index(min(free_at))] = ended_at
             seen_at = min(ended_at, asked_at + BUSY_S)
-            self.answers.append((seen_at, asked_at, upstream, kind))
+            request = PendingRequest(upstream, kind, asked_at)
+            self.answers.append(_SentRequest(self.random.choice(self.hosts), request, seen_at))
 
     def _answer(self) -> None:
         """Let the hosts see the answers that came, and requests that none came to for long."""
-        self.answers.sort(key=itemgetter(0))
-        while self.answers and self.answers[0][0] <= self.now:
-            seen_at, asked_at, upstream, kind = self.answers.pop(0)
-            host = self.random.choice(self.hosts)
-            host.counts.note(upstream, kind, asked_at, seen_at)
+        self.answers.sort(key=attrgetter('seen_at'))
+        while self.answers and self.answers[0].seen_at <= self.now:
+            sent = self.answers.pop(0)
+            request = sent.request
+            sent.host.counts.note(
+                request.upstream,
+                request.kind,
+                request.asked_at,
+                sent.seen_at,
+            )
+
+    def _note_pending(self) -> None:
+        """Pass each host its requests in progress."""
+        for host in self.hosts:
+            pending = [
+                sent.request
+                for sent in self.answers
+                if sent.host is host and sent.request.asked_at <= self.now
+            ]
+            host.counts.note_pending(pending, self.now)
 
     def _tell(self) -> None:
         """Let the hosts tell whose turn it is, each once a second."""
@@ -453,6 +557,62 @@
             with self.assertRaises(MessageError):
                 decode_heartbeat(b''.join((raw[:-1], b',"answers":', broken, b'}')))
 
+    def test_pending_requests_are_decoded(self) -> None:
+        """Guards against counts of pending requests that change in encoding."""
+        pending = AnswerCount(4_000_000_000, 255, 3, 12.5)
+        sent = _heartbeat(ToldCounts(1000, (), (pending,)))
+        told = decode_heartbeat(encode_heartbeat(sent)).counts
+        self.assertIsNotNone(told)
+        if told:
+            read = told.pending[0]
+            self.assertEqual(
+                (4_000_000_000, 255, 3, 12.5),
+                (read.number, read.start, read.answers, read.means),
+            )
+
+    def test_an_empty_pending_field_is_omitted(self) -> None:
+        """Guards against larger heartbeats while no request is pending."""
+        count = AnswerCount(1, 2, 1, 1)
+        raw = encode_heartbeat(_heartbeat(ToldCounts(1000, (count,))))
+        self.assertNotIn(b'pending', raw)
+
+    def test_only_long_pending_requests_are_told(self) -> None:
+        """Guards against messages that count requests which have just been sent."""
+        counts = _settled_counts(self.upstream)
+        new = PendingRequest(self.upstream, _KIND, 9.98)
+        old = PendingRequest(self.upstream, _KIND, 9.8)
+        counts.note_pending([new, old], 10)
+        told = counts.tell(10)
+        self.assertEqual([1], [count.answers for count in told.pending] if told else [])
+
+    def test_fast_and_slow_answers_are_counted_separately(self) -> None:
+        """Guards against a fast and a slow answer that are weighed as two answers of their mean."""
+        counts = _settled_counts(self.upstream)
+        counts.note(self.upstream, _KIND, 1, 1.02)
+        counts.note(self.upstream, _KIND, 1, 1.12)
+        told = counts.tell(10)
+        self.assertEqual(2, len(told.counts) if told else 0)
+
+    def test_a_later_report_replaces_pending_requests(self) -> None:
+        """Guards against a pending request that is counted again with each heartbeat."""
+        hosts = _Hosts()
+        hosts.run(10)
+        upstream = hosts.upstreams[0]
+        count = AnswerCount(upstream.entry.short_number, start_of(upstream.entry), 1, 4)
+        host = hosts.hosts[0]
+        host.counts.note_pending([], hosts.now)
+        evidence = []
+        for told_ms in (1, 2):
+            host.hear('a99', ToldCounts(told_ms, (), (count,)), hosts.directory)
+            host.hurry()
+            host.reckon(hosts.directory, 'dc-a', hosts.now)
+            learned = host._learned_by_upstream[upstream]  # noqa: SLF001
+            evidence.append(learned.slowdown.pending_evidence)
+        self.assertGreater(evidence[0], 0)
+        self.assertAlmostEqual(evidence[0], evidence[1], delta=evidence[0] / 10)
+        hosts.run(2)
+        self.assertNotIn('a99', host._pending_by_host)  # noqa: SLF001
+
     def test_a_count_beyond_reason_is_cut(self) -> None:
         """Guards against one host that makes an upstream look endlessly slow."""
         self._hear(1000, means=1023)
@@ -485,6 +645,23 @@
         again = [beat for beat in self._beats(state, 60) if beat.counts]
         self.assertEqual([], again)
 
+    def test_pending_requests_are_told(self) -> None:
+        """Guards against neighbours that learn of slow requests only when they have ended."""
+        state = _learning_state()
+        neighbour = PeerAddress('a2', 'dc-a', ('a2', 9))
+        reduce(state, HeartbeatHeard(Heartbeat(neighbour, 1, 1, {})), 0.1)
+        given = self._serve(state, 40)
+        self._beats(state, 50)
+        deciding = steering(state)
+        deciding.decide(asking(1, given, 5000, acknowledged=46), 51)
+        pending = [
+            count
+            for beat in self._beats(state, 51.3)
+            if beat.counts
+            for count in beat.counts.pending
+        ]
+        self.assertEqual([1], [count.answers for count in pending])
+
     def test_what_is_not_controlled_is_neither_counted_nor_set(self) -> None:
         """Guards against another service than before for those who did not ask for it."""
         state = ready_state(entry(1), entry(2))
@@ -516,7 +693,7 @@
         shown = metrics_of(state, 1, {}, 0, 0).decode()
         self.assertIn('bronzekeel_learned_speed{kind="upstreams"} 0', shown)
 
-    def _serve(self, state: RoutingState, requests: int) -> None:
+    def _serve(self, state: RoutingState, requests: int) -> int:
         """Let callers ask on one flow, each answered after a twentieth of a second."""
         deciding = steering(state)
         verdict = deciding.decide(opening(1), 1)
@@ -529,6 +706,7 @@
             now += 0.05
             deciding.decide(acknowledging(1, given, 8 + number), now)
             now += 0.01
+        return given
 
     def _beats(self, state: RoutingState, now: float) -> list[Heartbeat]:
         return [
@@ -619,6 +797,15 @@
     return Counter(share.choose(upstreams, 1) for share in shares for _ in range(flows))
 
 
+def _settled_counts(upstream: Upstream) -> AnswerCounts:
+    """Return counts with a settled mean of one kind and nothing left to tell."""
+    counts = AnswerCounts()
+    for _ in range(40):
+        counts.note(upstream, _KIND, 1, 1 + _MEAN_S)
+    counts.tell(2)
+    return counts
+
+
 def _heartbeat(counts: ToldCounts | None) -> Heartbeat:
     return Heartbeat(PeerAddress('a1', 'dc-a', ('10.0.0.9', 9)), 1, 1, {}, counts=counts)
 
