--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -10,9 +10,9 @@
 from urllib.parse import parse_qs, unquote_to_bytes, urlsplit
 
 
-#: Items and bytes of one page at most, as the pages say.
+#: Items and bytes of one page at most, as the pages say; a page has one item at least.
 PAGE_ITEMS = 500
-PAGE_BYTES = 1_000_000
+PAGE_BYTES = 1_048_576
 
 _HISTORY_S = 20.0
 
