--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -14,10 +14,10 @@
 
 
 class Record:
-    """The file `record.txt`: one line an event, with the seconds since the begin of the case."""
+    """The record of a run: one line an event, with the seconds since the begin of the case."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / 'record.txt').open('w', encoding='utf-8')
+    def __init__(self, path):
+        self._file = Path(path).open('w', encoding='utf-8')
         self._begin = monotonic()
 
     def note(self, line, at=None):
@@ -31,14 +31,14 @@
     return environ.get('TROUBLE', '1') != '0'
 
 
-def main(folder, play):
+def main(folder, play, record_name='record.txt'):
     """Play a case: `play` is a coroutine function of the record and a temporary folder.
 
     It returns whether the rule was broken.
     """
     # A case that is stopped ends its processes too.
     signal(SIGTERM, default_int_handler)
-    record = Record(folder)
+    record = Record(Path(folder) / record_name)
     record.note(f'trouble: {"yes" if has_trouble() else "no"}')
     try:
         with TemporaryDirectory() as temporary:
