--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -188,7 +188,7 @@
         record.note(f'flow {flow.key[1]} open at {holder.name} (alive: {holder.alive}), through {hosts}: {end}')
         broken += flow.reset_by == 'system' and holder.alive
     ran = [request for target in targets for _, request in target.runs if request.startswith('second')]
-    record.note(f'{len(ran)} of {FLOWS} second requests ran, {sum(map(bool, answers))} were answered')
+    record.note(f'{len(ran)} of {len(flows)} second requests ran, {sum(map(bool, answers))} were answered')
     record.note(f'{broken} open flows were reset by the system while their target lived')
     return broken
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -43,10 +43,13 @@
         self.latency_s = latency_s
         self.replica_lags_s = (0.0,)
         self._stale_lists_by_kind = {}
+        self.holds_watches = False
         self.loses_answers = False
         self.lost_answers = 0
         self.calls = 0
+        self.lists = 0
         self.revision = 1
+        self.history_from = 1
         self.changes = []
         self._created = {}
         self._changed = Event()
@@ -82,11 +85,20 @@
         self._note(Change(monotonic(), self.revision, kind, name, last.content, removed=True))
         return self.revision
 
-    def _note(self, change):
-        self.changes.append(change)
+    def forget_history(self):
+        """Discard the history, and answer the watches that would need it."""
+        self.history_from = self.revision
+        self.holds_watches = False
+        self._wake()
+
+    def _wake(self):
         self._changed.set()
         self._changed = Event()
 
+    def _note(self, change):
+        self.changes.append(change)
+        self._wake()
+
     def _objects_at(self, kind, at):
         """Return the objects of a kind by name, and the store's revision, at a time."""
         revision = 1
@@ -140,6 +152,7 @@
                 status, body = await self._watch(kind, int(query['watch']), int(query['waitMs']) / 1000)
             else:
                 lag_s = self._next_lag_s(kind) if query.get('serializable') == '1' else 0.0
+                self.lists += 1
                 after = unquote_to_bytes(query.get('after', '').encode('latin-1'))
                 status, body = 200, self._page(kind, after, monotonic() - lag_s)
             if self.loses_answers:
@@ -167,22 +180,27 @@
 
     async def _watch(self, kind, since, wait_s):
         end_at = monotonic() + wait_s
-        oldest = [change for change in self.changes if change.at < monotonic() - _HISTORY_S]
-        if oldest and since < oldest[-1].revision and self._newer(kind, since):
-            if self._newer(kind, since)[0].at < monotonic() - _HISTORY_S:
+        while self.holds_watches or not self._newer(kind, since):
+            if since < self.history_from:
                 return 410, b''
-        while not self._newer(kind, since):
             left_s = end_at - monotonic()
             if left_s <= 0:
                 break
             changed = create_task(self._changed.wait())
             await wait((changed,), timeout=left_s, return_when=FIRST_COMPLETED)
             changed.cancel()
+        if since < self.history_from or self._is_forgotten(kind, since):
+            return 410, b''
         events = b','.join(
             b'{"tombstone":%s,"object":%s}' % (b'true' if change.removed else b'false', change.content)
             for change in self._newer(kind, since)
         )
         return 200, b'{"events":[%s],"storeRevision":%d}' % (events, self.revision)
 
+    def _is_forgotten(self, kind, since):
+        """Return whether the first change after `since` is older than the history that is kept."""
+        newer = self._newer(kind, since)
+        return bool(newer) and newer[0].at < monotonic() - _HISTORY_S
+
     def _newer(self, kind, since):
         return [change for change in self.changes if change.revision > since and change.kind == kind]
