Ask the store only for what peers know more of

A host whose peers have been ahead for a second asked the store for all three collections, also when the peers were ahead in one.

The peers' heartbeats tell which of text and upstreams is newer, so only that collection is asked for. Evacuations come whole in the heartbeats.

--- a/src/bronzekeel/core/routing/peer_exchange.py
+++ b/src/bronzekeel/core/routing/peer_exchange.py
@@ -163,18 +163,27 @@
     return [WriteLine(LogNumber.PEER_UNREACHED, peer=address, problem=event.problem)]
 
 
-def is_behind_too_long(state: RoutingState, now: float) -> bool:
-    """Whether a peer has known more than this balancer for ``MAX_BEHIND_S``.
+def collections_behind(state: RoutingState, now: float) -> frozenset[Collection]:
+    """Return what peers know more of, once one has been ahead for ``MAX_BEHIND_S``.
 
-    Such a balancer asks the store itself. Without this, a large text that the busy peers of a large
-    data centre cannot pass on in time arrives later than the bound on a change.
+    A balancer asks the store for these itself. Without this, a large text that the busy peers of a
+    large data centre cannot pass on in time arrives later than the bound on a change.
     """
     if state.behind_since is None:
-        return False
-    if not state.peers.is_ahead_of(state.text_order, state.directory.newest_revision, now):
+        return frozenset()
+    behind = set()
+    for peer in state.peers.live_neighbours(now):
+        if peer.heartbeat is None:
+            continue
+        if peer.heartbeat.text_order > state.text_order:
+            behind.add(Collection.TEXT)
+        if peer.heartbeat.upstreams_revision > state.directory.newest_revision:
+            behind.add(Collection.UPSTREAMS)
+    if not behind:
         state.behind_since = None
-        return False
-    return now >= state.behind_since + MAX_BEHIND_S
+    elif now < state.behind_since + MAX_BEHIND_S:
+        behind.clear()
+    return frozenset(behind)
 
 
 def fetch_remote(state: RoutingState, now: float) -> list[Effect]:
--- a/src/bronzekeel/core/routing/peers.py
+++ b/src/bronzekeel/core/routing/peers.py
@@ -231,14 +231,6 @@
         self._next_naming_at = now + REMOTE_NAMING_INTERVAL_S
         return (recent[self._turn % len(recent)],)
 
-    def is_ahead_of(self, text_order: int, upstreams_revision: int, now: float) -> bool:
-        """Whether a live peer knows something newer than these revisions."""
-        for peer in self.live_neighbours(now):
-            heartbeat = peer.heartbeat
-            if heartbeat is not None and heartbeat.is_ahead_of(text_order, upstreams_revision):
-                return True
-        return False
-
     def busy_at_peers(self, now: float) -> dict[int, int]:
         """Return the requests in progress that live peers count, by upstream."""
         total: dict[int, int] = {}
--- a/src/bronzekeel/core/routing/store_calls.py
+++ b/src/bronzekeel/core/routing/store_calls.py
@@ -3,7 +3,7 @@
 from bronzekeel.core.log_numbers import LogNumber
 from bronzekeel.core.routing.effects import Effect, WriteLine
 from bronzekeel.core.routing.follower import Follower
-from bronzekeel.core.routing.peer_exchange import is_behind_too_long
+from bronzekeel.core.routing.peer_exchange import collections_behind
 from bronzekeel.core.routing.revisions import format_revision
 from bronzekeel.core.routing.state import RoutingState
 
@@ -12,11 +12,12 @@
     """Return the calls to the store that are due."""
     effects: list[Effect] = []
     watches = state.is_watcher(now)
-    behind = is_behind_too_long(state, now)
+    behind = collections_behind(state, now)
     if behind:
         state.behind_since = now
     for follower in state.follower_by_collection.values():
-        effects.extend(_next_call(state, follower, now, watches=watches, behind=behind))
+        is_behind = follower.collection in behind
+        effects.extend(_next_call(state, follower, now, watches=watches, behind=is_behind))
     return effects
 
 
