Confirm the newest readers' views each two seconds

What callers saw: after half a second of a silent store, all hosts sent new flows to upstreams that drained, more than 3 s after the store, stable again, had confirmed their drain, and cut what they had sent there when these ended; requests were handled by a text that had been replaced.

Cause: the answers to all watches of a collection were lost together, on connections that stay open. A watch proved its host's view until its deadline, 10 s after it began, though nothing showed that its connection was alive; a peer that knows more would have ended it, but none did.

The two readers without staleness were as late as the others, so it was no stale read.

Fix: the two hosts that read without staleness need a confirmation of each collection within CONFIRM_INTERVAL_S. Each of their answers carries the store's revision, which confirms every collection that is read up to there; their watches end in turn, one in two seconds. What is not confirmed is asked for at once, and news that comes by such a call goes to other data centres at once. All watches must end half a second after their wait, and the backoff after a timeout counts from when the answer was due. The pages of a listing are a class of their own now, as Follower had too many methods; that changes nothing.

Why this works: a dead watch is doubted within 2.5 s whatever is lost with it, at whatever moment, and the host that takes a reader's place has no confirmation and asks at once. Nothing depends on peers that know more.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -11,13 +11,20 @@
 from enum import StrEnum
 
 from bronzekeel.core.routing.effects import Effect, ReadPage, WatchChanges
-from bronzekeel.core.routing.events import StoredObject
-from bronzekeel.core.routing.revisions import incarnation_of, is_same_incarnation
-from bronzekeel.core.store_waits import ANSWER_TIMEOUT_S, PROBE_WATCH_S, WATCH_WAIT_S, retry_wait_s
-
-
-#: Seconds within which this balancer's own watch must report a change that a peer reported.  A
-#: store sixty times slower than its usual 4 ms answers in half of this time.
+from bronzekeel.core.routing.listing import Listing
+from bronzekeel.core.routing.revisions import incarnation_of
+from bronzekeel.core.store_waits import (
+    ANSWER_TIMEOUT_S,
+    CONFIRM_INTERVAL_S,
+    PROBE_WATCH_S,
+    WATCH_WAIT_S,
+    retry_wait_s,
+)
+
+
+#: Seconds within which this balancer's own watch must report a change that a peer reported, or
+#: must end after its wait is over.  A store sixty times slower than its usual 4 ms answers in half
+#: of this time.
 MAX_WATCH_LAG_S = 0.5
 
 #: The same for a stale watch, since stale reads may be seconds behind in the users' store.
@@ -47,56 +54,62 @@
 
     `revision` is the store's revision that is known here, `watched_from` the one from which the
     last watch began; a page was read at `answered_at`.  At `current_until` the last answer no
-    longer proves that the view is current.  At `stalled_at` the watch must have reported what a
-    peer reported.  The listing in progress has the `objects` of its pages so far, read from
-    `listing_revision` on; it `has_gaps` if some have no readable name.  No call is made before
-    `delayed_until`; `stale` is set if the last call allowed stale reads.  `relistings` counts the
-    listings since a watch was last answered; the next call `must_list` if the watch cannot be
-    continued.
+    longer proves that the view is current.  At `stalled_at` the watch must have ended, or have
+    reported what a peer reported.  At `confirmed_at` the view was last known to be as new as the
+    store; `store_changes` is set if the last watch ended without changes although the store had
+    changed otherwise.  The call in progress is due to be answered at `due_at`; it is a `probing`
+    watch if it follows a failure or a doubt.  `listing` has the pages of the listing in progress.
+    No call is made before `delayed_until`; `stale` is set if the last call allowed stale reads.
+    `relistings` counts the listings since a watch was last answered; the next call `must_list` if
+    the watch cannot be continued.
     """
 
     __slots__ = (
-        '_host',
         'answered_at',
         'collection',
+        'confirmed_at',
         'current_until',
         'delayed_until',
+        'due_at',
         'failures',
-        'has_gaps',
+        'host',
         'listed',
-        'listing_revision',
+        'listing',
         'lost',
         'must_list',
-        'objects',
         'paused',
+        'probing',
         'relistings',
         'retry_at',
         'revision',
         'stale',
         'stalled_at',
+        'store_changes',
         'watched_from',
     )
 
     def __init__(self, collection: Collection, host: str) -> None:
         """Start with nothing read."""
-        self._host = host
+        self.host = host
         self.collection = collection
         self.answered_at: float = 0
+        self.confirmed_at: float = 0
         self.current_until: float = 0
+        self.due_at: float = 0
         self.stalled_at: float | None = None
         self.failures = 0
-        self.has_gaps = False
         self.listed = False
-        self.listing_revision: int | None = None
+        self.listing = Listing()
         self.lost = False
         self.must_list = False
-        self.objects: list[StoredObject] = []
         self.paused = False
+        self.probing = False
         self.relistings = 0
         self.delayed_until: float | None = None
         self.retry_at: float | None = None
         self.revision = 0
         self.stale = False
+        self.store_changes = False
         self.watched_from = 0
 
     def is_current(self, now: float) -> bool:
@@ -137,9 +150,9 @@
         """
         if self.delayed_until is not None:
             return
-        if self.stalled_at is None and self.is_current(now):
+        if self.stalled_at is not None and self.is_current(now):
             wait_s = MAX_STALE_WATCH_LAG_S if self.stale else MAX_WATCH_LAG_S
-            self.stalled_at = now + wait_s
+            self.stalled_at = min(self.stalled_at, now + wait_s)
 
     def expect_incarnation(self, incarnation: int, now: float) -> None:
         """Record the store's current incarnation and restart a watch of an earlier one.
@@ -152,7 +165,7 @@
             self.stalled_at = now
 
     def is_stalled(self, now: float) -> bool:
-        """Whether the own watch did not report in time what a peer reported.
+        """Whether the own watch did not end in time, or not report what a peer reported.
 
         Without this check, if the store stops answering a host without closing the connection, the
         host would claim until the end of the watch that its view is current, and no other host
@@ -160,20 +173,37 @@
         """
         return self.stalled_at is not None and now >= self.stalled_at
 
-    def begin_listing(self) -> Effect:
+    def confirms_at_end(self, now: float) -> bool:
+        """Whether a watch without staleness is in progress whose end is still to come."""
+        if self.stale or self.probing or self.delayed_until is not None:
+            return False
+        return self.is_current(now) and self.due_at > now
+
+    def is_unconfirmed(self, now: float) -> bool:
+        """Whether a watch is in progress, and nothing has confirmed the view for too long.
+
+        When the store loses an answer, it does not close the connection, and all watches that wait
+        for the same change lose theirs together.  A watch that waits for the next change cannot be
+        told from one that waits in vain.
+        """
+        if self.probing or self.delayed_until is not None or not self.is_current(now):
+            return False
+        return now >= self.confirmed_at + CONFIRM_INTERVAL_S + MAX_WATCH_LAG_S
+
+    def begin_listing(self, now: float) -> Effect:
         """Return the request for the first page.
 
         The very first listing is stale: a host that starts catches up by its watch or through its
         peers.  A listing after lost history must be newer than what is known.
         """
-        self.objects = []
-        self.has_gaps = False
-        self.listing_revision = None
+        self.listing = Listing()
         self.retry_at = None
         self.delayed_until = None
         self.stalled_at = None
         self.must_list = False
+        self.probing = False
         self.stale = not self.listed and not self.failures
+        self.due_at = now
         return ReadPage(self.collection, '', stale=self.stale)
 
     def relist(self, now: float) -> list[Effect]:
@@ -184,30 +214,17 @@
         that the view is current.
         """
         self.invalidate(now)
+        self.stalled_at = None
         self.relistings += 1
         if self.relistings == 1:
-            return [self.begin_listing()]
+            return [self.begin_listing(now)]
         self.must_list = True
-        self.retry_at = now + self._wait_s(self.relistings - 1)
+        self.retry_at = now + _retry_wait_s(self, self.relistings - 1)
         return []
 
-    def is_page_of_listing(self, revision: int) -> bool:
-        """Whether a page read at `revision` belongs to the listing in progress."""
-        if self.listing_revision is None:
-            return True
-        return is_same_incarnation(revision, self.listing_revision)
-
-    def add_page(self, objects: list[StoredObject], revision: int) -> str:
-        """Add a page to the listing; return the last name on it, or an empty string."""
-        if self.listing_revision is None:
-            self.listing_revision = revision
-        self.objects.extend(objects)
-        names = [listed.name for listed in objects if listed.name]
-        self.has_gaps |= len(names) < len(objects)
-        return names[-1] if names else ''
-
-    def next_page(self, after: str) -> Effect:
+    def next_page(self, after: str, now: float) -> Effect:
         """Return the request for the page after a name."""
+        self.due_at = now
         return ReadPage(self.collection, after, stale=self.stale)
 
     def end_listing(self, revision: int) -> None:
@@ -216,7 +233,7 @@
         The watch begins at the revision of the first page, which repeats changes made while the
         pages were read instead of missing them.
         """
-        self.revision = max(self.revision, self.listing_revision or revision)
+        self.revision = max(self.revision, self.listing.revision or revision)
         self.listed = True
 
     def delay_next_call(self, until: float) -> None:
@@ -230,26 +247,40 @@
         self.current_until = 0
 
     def invalidate(self, now: float) -> None:
-        """Treat the view as not current until the next answer."""
+        """Treat the view as not current until the next answer, which may have arrived unread."""
         self.current_until = 0
+        if self.stalled_at is not None:
+            self.stalled_at = max(self.stalled_at, now + MAX_WATCH_LAG_S)
         if self.delayed_until is not None:
             self.delayed_until = None
             self.retry_at = now
 
-    def watch(self, now: float, *, stale: bool = False) -> Effect:
+    def watch(
+        self,
+        now: float,
+        *,
+        wait_s: float = WATCH_WAIT_S,
+        stale: bool = False,
+    ) -> Effect:
         """Return a watch for changes after `revision`."""
         self._note_answer(now)
-        return self._watch(WATCH_WAIT_S, stale=stale)
+        self.probing = False
+        self.confirmed_at = now
+        self.stalled_at = now + wait_s + MAX_WATCH_LAG_S
+        return self._watch(now, wait_s, stale=stale)
 
     def fail(self, now: float) -> None:
-        """Record a failed call and schedule the next attempt."""
+        """Record a failed call and schedule the next attempt.
+
+        The backoff counts from when the answer was due: a call that timed out has waited already.
+        """
         self.failures += 1
         self.lost = True
         self.stalled_at = None
         self.delayed_until = None
-        self.retry_at = now + self._wait_s(self.failures)
+        self.retry_at = min(now, self.due_at) + _retry_wait_s(self, self.failures)
 
-    def resume(self, *, stale: bool = False) -> Effect:
+    def resume(self, now: float, *, stale: bool = False) -> Effect:
         """Continue after a failure or a pause, from what peers reported in the meantime.
 
         A call in progress is abandoned.
@@ -260,13 +291,18 @@
         self.delayed_until = None
         self.retry_at = None
         if self.listed and not self.must_list:
-            return self._watch(PROBE_WATCH_S, stale=stale)
-        return self.begin_listing()
-
-    def _wait_s(self, failures: int) -> float:
-        return retry_wait_s(failures, f'{self._host}/{self.collection}', known=self.listed)
-
-    def _watch(self, wait_s: float, *, stale: bool) -> Effect:
+            self.probing = True
+            return self._watch(now, PROBE_WATCH_S, stale=stale)
+        return self.begin_listing(now)
+
+    def probe(self, now: float, *, stale: bool = False) -> Effect:
+        """Restart an unconfirmed watch; the view stays current while a prompt answer may arrive."""
+        effect = self.resume(now, stale=stale)
+        self.current_until = now + MAX_WATCH_LAG_S
+        return effect
+
+    def _watch(self, now: float, wait_s: float, *, stale: bool) -> Effect:
+        self.due_at = now + wait_s
         self.stale = stale
         self.watched_from = self.revision
         return WatchChanges(self.collection, self.revision, wait_s, stale=stale)
@@ -279,3 +315,8 @@
         self.delayed_until = None
         self.stalled_at = None
         self.current_until = next_call_at + WATCH_WAIT_S + ANSWER_TIMEOUT_S
+
+
+def _retry_wait_s(follower: Follower, failures: int) -> float:
+    caller = f'{follower.host}/{follower.collection}'
+    return retry_wait_s(failures, caller, known=follower.listed)
--- a/src/bronzekeel/core/routing/reducer.py
+++ b/src/bronzekeel/core/routing/reducer.py
@@ -78,7 +78,7 @@
     state.eligibility.begin(now)
     effects = send_due_heartbeats(state, now)
     for follower in state.follower_by_collection.values():
-        effects.append(follower.begin_listing())
+        effects.append(follower.begin_listing(now))
     return effects
 
 
--- a/src/bronzekeel/core/routing/relays.py
+++ b/src/bronzekeel/core/routing/relays.py
@@ -36,6 +36,10 @@
         self._last_sent_at: float = 0
         self._turn = 0
 
+    def expedite(self) -> None:
+        """Send the next heartbeats at once, because a change was learned late."""
+        self._last_sent_at = 0
+
     def due(self, now: float, *, direct: bool, queueing: bool) -> list[tuple[str, int]]:
         """Return the addresses in other data centres that are due for a heartbeat.
 
@@ -45,8 +49,10 @@
         interval_s = QUEUEING_RELAY_S if queueing else RELAY_S
         if now < self._last_sent_at + interval_s:
             return []
+        if not direct:
+            return []
         self._last_sent_at = now
-        if not direct or self.working_before(now) >= RELAYS:
+        if self.working_before(now) >= RELAYS:
             return []
         receivers: list[tuple[str, int]] = []
         for peers in self._peers.remote_by_centre().values():
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -28,6 +28,7 @@
     is_watcher,
     reads_newest,
 )
+from bronzekeel.core.store_waits import CONFIRM_INTERVAL_S, WATCH_WAIT_S
 
 
 class RoutingState:
@@ -177,10 +178,44 @@
         """Whether it is this balancer's duty to watch the store."""
         return is_watcher(self.peers, now, direct=self.is_direct(now), lost=self.is_lost)
 
+    def reads_newest(self, now: float) -> bool:
+        """Whether this balancer must read all collections without staleness."""
+        return reads_newest(self.relays, now)
+
     def reads_stale(self, collection: Collection, now: float) -> bool:
         """Whether a watch of a collection may report changes seconds late."""
-        return collection is not Collection.TEXT and not reads_newest(self.relays, now)
+        return collection is not Collection.TEXT and not self.reads_newest(now)
+
+    def watch_wait_s(self, collection: Collection, now: float) -> float:
+        """Return the seconds that a watch of a collection waits for a change.
+
+        Each answer shows the store's newest revision, which confirms all collections while the
+        store does not change.  So the watches of a balancer that reads the newest state end in
+        turn, one in each ``CONFIRM_INTERVAL_S``.
+        """
+        if not self.reads_newest(now):
+            return WATCH_WAIT_S
+        ends_at = now
+        if not self.follower_by_collection[collection].store_changes:
+            for due_at in self._other_watch_ends(collection, now):
+                if due_at <= ends_at + CONFIRM_INTERVAL_S:
+                    ends_at = due_at
+        return ends_at + CONFIRM_INTERVAL_S - now
+
+    def confirm_views(self, store_revision: int, now: float) -> None:
+        """Record the store's newest revision; it confirms views that are complete up to there."""
+        for follower in self.follower_by_collection.values():
+            if not follower.stale and follower.revision >= store_revision:
+                follower.confirmed_at = now
 
     def is_settled(self, now: float) -> bool:
         """Whether all data is current, and lapsed entries had time to come back."""
         return now >= self.directory.grace_until and self.is_current(now)
+
+    def _other_watch_ends(self, collection: Collection, now: float) -> list[float]:
+        """Return when the watches of the other collections end, in order."""
+        return sorted(
+            follower.due_at
+            for other, follower in self.follower_by_collection.items()
+            if other is not collection and follower.confirms_at_end(now)
+        )
--- a/src/bronzekeel/core/routing/store_answers.py
+++ b/src/bronzekeel/core/routing/store_answers.py
@@ -13,6 +13,7 @@
     Unreadable,
 )
 from bronzekeel.core.routing.follower import BATCH_S, LISTEN_S, Collection, Follower
+from bronzekeel.core.routing.listing import Listing
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.object_updates import (
@@ -47,11 +48,11 @@
     effects.extend(_note_incarnation(state, follower, event.revision, now))
     # Pages of two incarnations don't form one listing: upstreams that joined between them would
     # seem removed.
-    if not follower.is_page_of_listing(event.revision):
-        return [*effects, follower.begin_listing()]
-    last_name = follower.add_page(event.objects, event.revision)
+    if not follower.listing.continues_at(event.revision):
+        return [*effects, follower.begin_listing(now)]
+    last_name = follower.listing.add_page(event.objects, event.revision)
     if event.more and last_name:
-        return [*effects, follower.next_page(last_name)]
+        return [*effects, follower.next_page(last_name, now)]
     follower.end_listing(event.revision)
     effects.extend(_apply_listing(state, follower, now))
     effects.extend(become_ready(state, now))
@@ -79,13 +80,20 @@
     if follower.collection is Collection.EVACUATIONS:
         reported = evacuated_with(state.evacuated, event.objects, event.revision)
         effects.extend(apply_evacuated(state, reported, STORE, now))
+    follower.store_changes = not event.objects and event.revision > follower.revision
     follower.revision = max(follower.revision, event.revision)
+    if not follower.stale:
+        _advance_others(state, follower, event)
+        state.confirm_views(event.revision, now)
+    probing = follower.probing
     effects.extend(become_ready(state, now))
     if event.objects and follower.collection is Collection.UPSTREAMS:
         follower.delay_next_call(now + BATCH_S)
     else:
         effects.extend(continue_watch(state, follower, now))
     if known != _announced_state(state):
+        if probing:
+            state.relays.expedite()
         effects.extend(announce_change(state, now))
     return effects
 
@@ -126,15 +134,15 @@
     would not ask for the rest.
     """
     if follower.collection is Collection.UPSTREAMS:
-        note_restore(state, follower.listing_revision or 0, now)
+        note_restore(state, follower.listing.revision or 0, now)
     effects: list[Effect] = []
-    for stored in follower.objects:
+    for stored in follower.listing.objects:
         effects.extend(_apply(state, follower, stored, now))
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
     if follower.collection is Collection.EVACUATIONS:
         effects.extend(apply_evacuated(state, _listed_evacuated(state, follower), STORE, now))
-    follower.objects = []
+    follower.listing = Listing()
     return effects
 
 
@@ -143,6 +151,22 @@
     return state.text_order, state.directory.newest_revision, state.evacuated.centres
 
 
+def _advance_others(state: RoutingState, follower: Follower, event: ChangesRead) -> None:
+    """Advance the other collections if an answer has every change since they were read.
+
+    Each change has a revision of its own, so none of the changes was one of theirs.
+    """
+    changed = {stored.revision for stored in event.objects}
+    for other in state.follower_by_collection.values():
+        if other is follower or not other.listed:
+            continue
+        missed = event.revision - other.revision
+        if not 0 < missed <= len(changed):
+            continue
+        if changed.issuperset(range(other.revision + 1, event.revision + 1)):
+            other.adopt(event.revision)
+
+
 def _note_recovered(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
     """Record that the store answers again.
 
@@ -224,10 +248,10 @@
     own revision.
     """
     effects: list[Effect] = []
-    if follower.has_gaps:
+    if follower.listing.has_gaps:
         return effects
-    revision = follower.listing_revision or 0
-    found = {listed.name for listed in follower.objects}
+    revision = follower.listing.revision or 0
+    found = {listed.name for listed in follower.listing.objects}
     for name in list(state.directory.by_name):
         if name in found:
             continue
@@ -240,6 +264,6 @@
 
     If some names in the listing are unreadable, all known evacuations stay in force.
     """
-    known = state.evacuated if follower.has_gaps else NOTHING_EVACUATED
-    found = {listed.name for listed in follower.objects if listed.name}
-    return Evacuated(follower.listing_revision or 0, known.centres.union(found))
+    known = state.evacuated if follower.listing.has_gaps else NOTHING_EVACUATED
+    found = {listed.name for listed in follower.listing.objects if listed.name}
+    return Evacuated(follower.listing.revision or 0, known.centres.union(found))
--- a/src/bronzekeel/core/routing/store_calls.py
+++ b/src/bronzekeel/core/routing/store_calls.py
@@ -12,10 +12,15 @@
     """Return the calls to the store that are due."""
     effects: list[Effect] = []
     watches = state.is_watcher(now)
+    confirms = watches and state.reads_newest(now)
     behind = collections_behind(state, now)
     if behind:
         state.behind_since = now
     for follower in state.follower_by_collection.values():
+        if confirms and follower.is_unconfirmed(now):
+            effects.append(_doubted_line(state, follower, now))
+            effects.append(follower.probe(now))
+            continue
         is_behind = follower.collection in behind
         effects.extend(_next_call(state, follower, now, watches=watches, behind=is_behind))
     return effects
@@ -23,7 +28,9 @@
 
 def continue_watch(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
     """Start the next watch, or pause if enough other balancers watch."""
-    effect = follower.watch(now, stale=state.reads_stale(follower.collection, now))
+    collection = follower.collection
+    wait_s = state.watch_wait_s(collection, now)
+    effect = follower.watch(now, wait_s=wait_s, stale=state.reads_stale(collection, now))
     if state.is_watcher(now):
         return [effect]
     follower.pause()
@@ -40,24 +47,26 @@
 ) -> list[Effect]:
     """Return the call that is due for one collection, or pause if other balancers make it."""
     if follower.is_stalled(now):
-        return _restart_stalled_watch(state, follower, now)
+        line = _doubted_line(state, follower, now)
+        return [line, follower.resume(now, stale=state.reads_stale(follower.collection, now))]
     if follower.is_delay_over(now) and (follower.is_current(now) or not watches):
         return continue_watch(state, follower, now)
     if not follower.is_due(now) and not follower.is_delay_over(now):
         return []
     if behind:
-        return [follower.resume()]
+        return [follower.resume(now)]
     if watches or not follower.listed:
-        return [follower.resume(stale=state.reads_stale(follower.collection, now))]
+        return [follower.resume(now, stale=state.reads_stale(follower.collection, now))]
     follower.pause()
     return []
 
 
-def _restart_stalled_watch(state: RoutingState, follower: Follower, now: float) -> list[Effect]:
-    """Restart a watch that did not report a change that a peer reported."""
-    line = WriteLine(
+def _doubted_line(state: RoutingState, follower: Follower, now: float) -> Effect:
+    """Count a watch that may have lost its answer, and return its log line."""
+    state.store_record.watches_doubted += 1
+    return WriteLine(
         LogNumber.WATCH_DOUBTED,
         collection=follower.collection.value,
         revision=format_revision(follower.revision),
+        unconfirmed_s=round(now - follower.confirmed_at, 3),
     )
-    return [line, follower.resume(stale=state.reads_stale(follower.collection, now))]
--- a/src/bronzekeel/core/store_waits.py
+++ b/src/bronzekeel/core/store_waits.py
@@ -14,6 +14,11 @@
 #: resume from its last revision.
 WATCH_WAIT_S = 8.0
 
+#: Seconds within which a balancer that reads without staleness must receive proof that its views
+#: are as new as the store.  A lost answer leaves a watch open without a sign, and users expect
+#: hosts to be current 4 s after an outage; half of that remains for passing changes on.
+CONFIRM_INTERVAL_S = 2.0
+
 #: Seconds that the first watch after a failure waits.  It is short because a
 #: watch shows only at its end that the store answers again.
 PROBE_WATCH_S = 0.02
@@ -39,7 +44,7 @@
 
 
 def retry_wait_s(failures: int, caller: str, *, known: bool) -> float:
-    """Return the seconds to wait after `failures` consecutive failures, at least one.
+    """Return the seconds from one attempt to the next after `failures` failures, at least one.
 
     `caller` names the calling host and what it reads; its hash spreads the waits
     between 0.5 and 1.5 times the backoff.  `known` means that an older state can
--- a/src/bronzekeel/entry/metrics.py
+++ b/src/bronzekeel/entry/metrics.py
@@ -11,6 +11,8 @@
 from bronzekeel.core.routing.state import RoutingState
 
 
+_COUNTER = 'counter'
+
 _POOL_METRICS: tuple[tuple[str, str, str, Callable[[Pool], float]], ...] = (
     ('requests_in_progress', 'gauge', 'Requests in progress by service.', lambda pool: pool.busy),
     (
@@ -39,7 +41,7 @@
     ),
     (
         'flows_refused_total',
-        'counter',
+        _COUNTER,
         'Flows refused for lack of free capacity.',
         lambda pool: pool.refused,
     ),
@@ -89,29 +91,35 @@
     """Return the metrics page of a balancer."""
     page = MetricsPage()
     record = state.store_record
-    page.add('bronzekeel_packets_total', 'counter', 'Packets by outcome.', {**count_by_outcome})
-    page.add('bronzekeel_store_calls_total', 'counter', 'Calls to the store.', {'': store_calls})
+    page.add('bronzekeel_packets_total', _COUNTER, 'Packets by outcome.', {**count_by_outcome})
+    page.add('bronzekeel_store_calls_total', _COUNTER, 'Calls to the store.', {'': store_calls})
     page.add(
         'bronzekeel_objects_unreadable_total',
-        'counter',
+        _COUNTER,
         'Objects of the store that could not be read.',
         {'': record.unreadable_objects},
     )
     page.add(
         'bronzekeel_store_histories_lost_total',
-        'counter',
+        _COUNTER,
         'Watches that the store could not continue because their history was gone.',
         {'': record.histories_lost},
     )
+    page.add(
+        'bronzekeel_store_watches_doubted_total',
+        _COUNTER,
+        'Watches that were restarted because their answer may be lost.',
+        {'': record.watches_doubted},
+    )
     page.add(
         'bronzekeel_texts_refused_total',
-        'counter',
+        _COUNTER,
         'Texts received but not applied because a newer one is in force.',
         {'': record.texts_refused},
     )
     page.add(
         'bronzekeel_log_lines_left_out_total',
-        'counter',
+        _COUNTER,
         'Log lines dropped because of the rate limit of their kind or a full buffer.',
         {'': lines_left_out},
     )
@@ -128,7 +136,7 @@
     )
     page.add(
         'bronzekeel_flows_sent_elsewhere_total',
-        'counter',
+        _COUNTER,
         'Flows of demand-controlled services sent to other data centres, by reason.',
         {**state.demand.moving.remote_flows.flows_by_reason},
     )
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -73,7 +73,8 @@
 class RoutingNode:
     """Hold one balancer of a replay.
 
-    `store` is how the store responds to it: 'serves', 'refuses' or 'silent' (no answer).
+    `store` is how the store responds to it: 'serves', 'refuses', 'silent' (no answer, but watches
+    wait on) or 'loses' (answers are lost, and nothing further comes on their connections).
     `calls` counts its calls to the store, `consistent_reads` those that may not return stale
     data.  `boot` counts restarts; whatever is in flight to an earlier boot is lost.  A watch
     replaces the previous one on the same collection.
@@ -103,6 +104,7 @@
     node: RoutingNode
     boot: int
     effect: WatchChanges
+    ends_at: float
     open: bool = True
 
 
@@ -185,7 +187,7 @@
             self.at(self.store.staleness_s, partial(self._poll, watch))
 
     def fail_store(self, names: list[str], mode: str) -> None:
-        """Set how the store responds to some balancers: 'serves', 'refuses' or 'silent'.
+        """Set how the store responds to some balancers, as in ``RoutingNode``.
 
         With 'refuses', their open watches fail at once.
         """
@@ -274,7 +276,7 @@
         superseded = node.watch_by_collection.get(effect.collection)
         if superseded in self._watches:
             self._watches.remove(superseded)
-        watch = _Watch(node, node.boot, effect)
+        watch = _Watch(node, node.boot, effect, self.now + effect.wait_s)
         node.watch_by_collection[effect.collection] = watch
         if not self._reaches_store(node):
             failure = CallFailed(effect.collection, 'no answer')
@@ -289,11 +291,8 @@
         """Answer a watch if there are changes, or if its wait is over (`last`)."""
         if not watch.open or watch not in self._watches:
             return
-        if not self._reaches_store(watch.node):
-            if last:
-                self._end_watch(
-                    watch, CallFailed(watch.effect.collection, 'silent'), ANSWER_TIMEOUT_S
-                )
+        reached = self._reaches_store(watch.node)
+        if not reached and not last and watch.node.store != 'loses':
             return
         found = self.store.changes(
             Collection(watch.effect.collection),
@@ -302,7 +301,11 @@
         )
         if isinstance(found, ChangesRead) and not found.objects and not last:
             return
-        self._end_watch(watch, found, _STORE_DELAY_S)
+        if reached:
+            self._end_watch(watch, found, _STORE_DELAY_S)
+            return
+        failure = CallFailed(watch.effect.collection, 'no answer')
+        self._end_watch(watch, failure, watch.ends_at + ANSWER_TIMEOUT_S - self.now)
 
     def _end_watch(self, watch: _Watch, event: Event, after_s: float) -> None:
         watch.open = False
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -288,7 +288,7 @@
     def read_page(self, host: int) -> None:
         """Make a host list the evacuations."""
         state = self.states[host]
-        state.follower_by_collection[Collection.EVACUATIONS].begin_listing()
+        state.follower_by_collection[Collection.EVACUATIONS].begin_listing(0)
         self._answer(host, self.store.page(Collection.EVACUATIONS))
 
     @rule(host=_HOST)
@@ -296,7 +296,7 @@
         """Make a host's watch return an answer."""
         follower = self.states[host].follower_by_collection[Collection.EVACUATIONS]
         if follower.listed:
-            follower.resume()
+            follower.resume(0)
             self._answer(host, self.store.changes(Collection.EVACUATIONS, follower.revision))
 
     @rule(teller=_HOST, host=_HOST)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -290,7 +290,7 @@
     def test_entries_that_a_restore_lost_get_time(self) -> None:
         """An upstream missing after a restore has time to write its entry again."""
         state = known_state(1, 2)
-        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
         reduce(state, page_of_backup(1), 2)
         joined = state.directory.by_name[entry(2).name]
         self.assertFalse(joined.listed)
@@ -344,7 +344,7 @@
     def test_an_answer_from_before_the_restore_is_left_out(self) -> None:
         """An answer of an earlier incarnation, from a replica that is behind, is ignored."""
         state = known_state(1, 2)
-        state.follower_by_collection[Collection.TEXT].begin_listing()
+        state.follower_by_collection[Collection.TEXT].begin_listing(0)
         restored = page(Collection.TEXT, text(revision_of(_SECOND, 2), generation=5))
         reduce(state, restored, 2)
         left = StoredObject(entry(2).name, revision_of(_FIRST, 9), None)
@@ -356,7 +356,7 @@
     def test_a_listing_interrupted_by_a_restore_is_restarted(self) -> None:
         """A listing is started again if the store is restored between two of its pages."""
         state = known_state(1, 2)
-        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
         first = entry(1, revision=revision_of(_FIRST, 1))
         before = StoredObject(first.name, first.revision, first)
         pages = PageRead(Collection.UPSTREAMS, [before], revision_of(_FIRST, 9), more=True)
@@ -436,7 +436,7 @@
         relist(state, 2)
         revision = revision_of(_SECOND + 1, 2)
         ready = entry(2, revision=revision)
-        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
         reduce(state, page(Collection.UPSTREAMS, ready), 3)
         self.assertFalse(state.directory.by_name[entry(2).name].accepts_flows(3))
         reduce(state, Ticked(), 2.1 + RESTORE_CONFIRM_S)
@@ -455,7 +455,7 @@
         newest = started_entry(7, revision, 2000)
         stored = StoredObject(newest.name, revision, newest)
         reduce(state, changes(Collection.UPSTREAMS, _FIRST, stored), 1.1)
-        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
         former = started_entry(7, revision_of(_SECOND, 5), 1000)
         reduce(state, page(Collection.UPSTREAMS, entry(1, revision=former.revision), former), 2)
         for wait_s, start_ms in ((RESTORE_CONFIRM_S - 0.5, 2000), (RESTORE_CONFIRM_S, 1000)):
@@ -515,7 +515,7 @@
 
 def relist(state: RoutingState, now: float) -> None:
     """Make a host list the backup, in which both upstreams are ready."""
-    state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+    state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
     reduce(state, page_of_backup(1, 2), now)
 
 
@@ -597,7 +597,7 @@
         joined = ChangesRead(
             Collection.UPSTREAMS, [StoredObject(listed.name, revision, listed)], revision
         )
-        state.follower_by_collection[Collection.UPSTREAMS].begin_listing()
+        state.follower_by_collection[Collection.UPSTREAMS].begin_listing(0)
         reduce(state, page_of_backup(1, 2), 2)
         reduce(state, joined, 2.1)
         self.assertFalse(state.directory.by_name[listed.name].accepts_flows(2.1))
@@ -614,7 +614,7 @@
 
 def relist_evacuations(state: RoutingState, now: float, *centres: str) -> None:
     """Make a host list the evacuations of a backup."""
-    state.follower_by_collection[Collection.EVACUATIONS].begin_listing()
+    state.follower_by_collection[Collection.EVACUATIONS].begin_listing(0)
     revision = revision_of(_SECOND, 9)
     objects = [StoredObject(centre, revision, Evacuation()) for centre in centres]
     reduce(state, PageRead(Collection.EVACUATIONS, objects, revision, more=False), now)
--- a/tests/test_view_model.py
+++ b/tests/test_view_model.py
@@ -97,7 +97,7 @@
     @rule(host=_HOSTS, collection=st.sampled_from(_VIEWED))
     def read_page(self, host: int, collection: Collection) -> None:
         """Let a host list a collection, and keep the answer for a late delivery."""
-        self.states[host].follower_by_collection[collection].begin_listing()
+        self.states[host].follower_by_collection[collection].begin_listing(0)
         answer = self.store.page(collection)
         self.kept_answers.append(answer)
         self._apply(host, answer)
@@ -107,7 +107,7 @@
         """Let a host receive an answer to its watch."""
         follower = self.states[host].follower_by_collection[collection]
         if follower.listed:
-            follower.resume()
+            follower.resume(0)
             self._apply(host, self.store.changes(collection, follower.revision))
 
     @rule(host=_HOSTS, index=st.integers(0, 40))
