Take a listing as of its oldest page

What callers saw: a host that was added as planned reset 4 to 7 of 60 open flows of an upstream that lived, and opened new flows at one that drained. With the ages of the pages reversed, all new flows to a service whose only upstream lived were refused in all data centres.

Cause: each applied entry raised the revision up to which everything counted as known, which heartbeats tell and views are asked from, and a listing counted as one of its first page. Of two pages of different age, changes on the older one were never asked for again, and what it lacked was removed.

Evidence: after such a list the host asks its neighbour for what is newer than the newest entry, and does not know the other upstream at all.

Fix: a listing counts as of its oldest page, for the watch, for removals and for evacuations; only whole answers raise what is known. Random reads of three hosts, with pages of any age and late views, then found two more ways to the same wrong knowledge, which are mended here, as the first fix relies on them: a view hid removals that its sender had never seen or had forgotten, and an entry from before its removal was listed again.

Why this works: the invariant is stated and checked, every change up to the revision that a host claims is known to it, for any number and order of pages.

One test is changed: test_ready_only_after_all_pages_of_all had a second page that was older than the first, and expected the watch at the first, which was the fault. Its second page is newer now; the older one is in the new tests.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -43,9 +43,10 @@
 class Directory:
     """Hold all upstreams by name, by service and by short number.
 
-    `pools_by_service` has the pools of a service by data centre.  `changes` counts changes that
-    affect where packets go.  `ordered` is disabled only by tests that show the effect of the order
-    by revision.
+    Every change up to `newest_revision` is known; entries may be newer.  Every removal after
+    `removals_since` is remembered.  `pools_by_service` has the pools of a service by data centre.
+    `changes` counts changes that affect where packets go.  `ordered` is disabled only by tests that
+    show the effect of the order by revision.
     """
 
     def __init__(self) -> None:
@@ -56,6 +57,7 @@
         self._by_service: dict[str, dict[str, Upstream]] = {}
         self.grace_until: float = 0
         self.newest_revision = 0
+        self.removals_since = 0
         self.ordered = True
         self.changes = 0
         self._lapsed: list[Upstream] = []
@@ -68,6 +70,11 @@
         """Number of upstreams that the store lists."""
         return sum(upstream.listed for upstream in self.by_name.values())
 
+    @property
+    def listed_names(self) -> frozenset[str]:
+        """Names of the upstreams that the store lists."""
+        return frozenset(name for name, upstream in self.by_name.items() if upstream.listed)
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service in the order they were added, including gone ones."""
         return list(self._by_service.get(service, {}).values())
@@ -108,7 +115,10 @@
         self.pool_members.invalidate_all_capacities()
 
     def advance_revision(self, revision: int) -> None:
-        """Record that every change up to `revision` is known."""
+        """Record that every change up to `revision` is known.
+
+        The revision of a single entry is no reason for this: changes before it may be unknown.
+        """
         self.newest_revision = max(self.newest_revision, revision)
 
     def note_recovered(self, now: float) -> None:
@@ -131,7 +141,6 @@
         the pool of its new entry.
         """
         known = self.by_name.get(entry.name)
-        self.advance_revision(entry.revision)
         if known is None:
             self._add(entry, now)
             return True
@@ -169,7 +178,6 @@
         known = self.by_name.get(name)
         if known is None or revision <= max(known.entry.revision, known.removed_revision):
             return False
-        self.advance_revision(revision)
         self.changes += 1
         self._unconfirmed_by_name.pop(name, None)
         self.pool_members.invalidate_capacity(known.pool)
@@ -188,9 +196,11 @@
         An upstream that was draining has left.  One that vanished while the store was available is
         gone at once; after an outage it may come back.
         """
-        self.advance_revision(revision)
         known = self.by_name.get(name)
-        if known is None or revision < known.entry.revision:
+        if known is None:
+            self.removals_since = max(self.removals_since, revision)
+            return None
+        if revision < known.entry.revision:
             return None
         known.removed_revision = max(known.removed_revision, revision)
         self._unconfirmed_by_name.pop(name, None)
@@ -211,6 +221,7 @@
             upstream.recent_requests /= 2
             if upstream.missing_at is None or now < upstream.missing_at + RETENTION_S:
                 continue
+            self.removals_since = max(self.removals_since, upstream.removed_revision)
             self._remove(name)
 
     def _restart(self, former: UpstreamEntry, entry: UpstreamEntry, now: float) -> bool:
--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -227,14 +227,15 @@
         self.due_at = now
         return ReadPage(self.collection, after, stale=self.stale)
 
-    def end_listing(self, revision: int) -> None:
+    def end_listing(self) -> None:
         """Record that the listing is complete.
 
-        The watch begins at the revision of the first page, which repeats changes made while the
-        pages were read instead of missing them.
+        The watch begins at the revision of the oldest page, which repeats some changes instead of
+        missing others.
         """
-        self.revision = max(self.revision, self.listing.revision or revision)
+        self.revision = max(self.revision, self.listing.revision or 0)
         self.listed = True
+        self.listing = Listing()
 
     def delay_next_call(self, until: float) -> None:
         """Make no call before `until`; the view counts as current in the meantime."""
--- a/src/bronzekeel/core/routing/messages.py
+++ b/src/bronzekeel/core/routing/messages.py
@@ -200,7 +200,7 @@
 class KnownVersions:
     """Hold what the requester of a view knows already.
 
-    These are the order of its text, and the revisions of the newest change and of the newest
+    These are the order of its text, and the revisions up to which it knows every change and every
     removal of upstreams.  The last is zero for a balancer that has just started, since the store
     lists only what is present and not what was removed.
     """
@@ -226,20 +226,23 @@
     read; a watch can continue from there.  `text` is None if the peer has it.  `newest_revision` is
     that of the newest change of upstreams that the view accounts for, even if the sender has
     forgotten what changed.  `all_missing` is set if `missing` has all missing entries that the
-    sender remembers.
+    sender remembers.  It remembers every removal after `removals_since`; if the peer may have
+    missed an earlier one, `listed_names` has all listed upstreams, else it is None.
     """
 
     __slots__ = (
         'all_missing',
         'entries',
+        'listed_names',
         'missing',
         'newest_revision',
+        'removals_since',
         'text',
         'text_followed',
         'upstreams_followed',
     )
 
-    def __init__(
+    def __init__(  # noqa: WPS211 (the fields of one message)
         self,
         text: RoutingText | None,
         text_followed: int,
@@ -249,6 +252,8 @@
         newest_revision: int = 0,
         *,
         all_missing: bool = False,
+        removals_since: int = 0,
+        listed_names: frozenset[str] | None = None,
     ) -> None:
         """Store the parts of the view."""
         self.text = text
@@ -258,3 +263,5 @@
         self.upstreams_followed = upstreams_followed
         self.newest_revision = newest_revision
         self.all_missing = all_missing
+        self.removals_since = removals_since
+        self.listed_names = listed_names
--- a/src/bronzekeel/core/routing/object_updates.py
+++ b/src/bronzekeel/core/routing/object_updates.py
@@ -46,8 +46,15 @@
 
 
 def apply_entry(state: RoutingState, entry: UpstreamEntry, now: float) -> list[Effect]:
-    """Apply an upstream's entry."""
+    """Apply an upstream's entry.
+
+    An entry that is not listed here although every change up to its revision is known was removed
+    since.  It comes from a peer that is behind, or from a stale read.
+    """
     former = state.directory.by_name.get(entry.name)
+    is_listed = former is not None and former.listed
+    if not is_listed and entry.usable and entry.revision <= state.upstreams_complete:
+        return []
     if not state.directory.apply(entry, now):
         return []
     if former is not None and state.directory.by_name[entry.name] is not former:
--- a/src/bronzekeel/core/routing/peer_exchange.py
+++ b/src/bronzekeel/core/routing/peer_exchange.py
@@ -132,8 +132,9 @@
         effects.extend(apply_entry(state, entry, now))
     for missing in view.missing:
         effects.extend(_apply_missing(state, missing, now))
-    if restored and view.upstreams_followed:
-        effects.extend(_remove_unreported(state, view, now))
+    if view.upstreams_followed:
+        effects.extend(_remove_unlisted(state, view, now, restored=restored))
+        _note_removals(state, view)
     state.directory.advance_revision(view.newest_revision)
     state.knows_missing = state.knows_missing or view.all_missing
     followers = state.follower_by_collection
@@ -146,16 +147,39 @@
     return effects
 
 
-def _remove_unreported(state: RoutingState, view: View, now: float) -> list[Effect]:
-    """Remove the upstreams that a restored store has lost: a view of it is complete."""
-    reported = {entry.name for entry in view.entries}
+def _remove_unlisted(
+    state: RoutingState,
+    view: View,
+    now: float,
+    *,
+    restored: bool,
+) -> list[Effect]:
+    """Remove the upstreams whose removal the peer may have missed or forgotten, or a restore lost.
+
+    A view of a restored store has all its entries.
+    """
+    listed_names = view.listed_names
+    if listed_names is None and restored:
+        listed_names = frozenset(entry.name for entry in view.entries)
+    if listed_names is None:
+        return []
+    complete = max(view.newest_revision, view.upstreams_followed)
     effects: list[Effect] = []
     for name in list(state.directory.by_name):
-        if name not in reported:
-            effects.extend(apply_removal(state, name, view.newest_revision, now))
+        if name not in listed_names:
+            effects.extend(apply_removal(state, name, complete, now))
     return effects
 
 
+def _note_removals(state: RoutingState, view: View) -> None:
+    """Record since when every removal is remembered, from what a peer reported of its own."""
+    directory = state.directory
+    if state.upstreams_complete < view.removals_since:
+        directory.removals_since = view.removals_since
+    elif view.all_missing and view.upstreams_followed >= directory.removals_since:
+        directory.removals_since = min(directory.removals_since, view.removals_since)
+
+
 def on_view_failed(state: RoutingState, event: ViewFailed, now: float) -> list[Effect]:
     """Log that a peer gave no view; the next heartbeat triggers another fetch."""
     state.fetch_until = now
@@ -219,6 +243,7 @@
     """
     followers = state.follower_by_collection
     upstreams = followers[Collection.UPSTREAMS]
+    missed = known.upstreams_revision < state.directory.removals_since
     return View(
         state.text if state.text_order > known.text_order else None,
         followers[Collection.TEXT].revision,
@@ -227,6 +252,8 @@
         upstreams.revision if upstreams.listed else 0,
         state.directory.newest_revision,
         all_missing=not known.removals_revision,
+        removals_since=state.directory.removals_since,
+        listed_names=state.directory.listed_names if missed else None,
     )
 
 
@@ -284,9 +311,9 @@
 def _fetch_from(state: RoutingState, peer: PeerAddress, now: float) -> Effect:
     """Request from a peer what it knows beyond what is known here."""
     state.fetch_until = now + FETCH_RETRY_S
-    newest = state.directory.newest_revision
-    removals = newest if state.knows_missing else 0
-    return FetchView(peer.address, KnownVersions(state.text_order, newest, removals))
+    complete = state.upstreams_complete
+    removals = complete if state.knows_missing else 0
+    return FetchView(peer.address, KnownVersions(state.text_order, complete, removals))
 
 
 def _note_changes(state: RoutingState, known: tuple[int, int], now: float) -> list[Effect]:
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -130,6 +130,12 @@
         """The sort key of the text in force among all texts, zero without a text."""
         return self.text.order if self.text else 0
 
+    @property
+    def upstreams_complete(self) -> int:
+        """The revision up to which every change of upstreams is known."""
+        followed = self.follower_by_collection[Collection.UPSTREAMS].revision
+        return max(self.directory.newest_revision, followed)
+
     @property
     def evacuated(self) -> Evacuated:
         """The newest known set of evacuated data centres."""
--- a/src/bronzekeel/core/routing/store_answers.py
+++ b/src/bronzekeel/core/routing/store_answers.py
@@ -13,7 +13,6 @@
     Unreadable,
 )
 from bronzekeel.core.routing.follower import BATCH_S, LISTEN_S, Collection, Follower
-from bronzekeel.core.routing.listing import Listing
 from bronzekeel.core.routing.messages import NOTHING_EVACUATED, Evacuated
 from bronzekeel.core.routing.model import RoutingText, UpstreamEntry
 from bronzekeel.core.routing.object_updates import (
@@ -53,8 +52,10 @@
     last_name = follower.listing.add_page(event.objects, event.revision)
     if event.more and last_name:
         return [*effects, follower.next_page(last_name, now)]
-    follower.end_listing(event.revision)
+    if follower.collection is Collection.UPSTREAMS:
+        _note_unseen_removals(state, follower)
     effects.extend(_apply_listing(state, follower, now))
+    follower.end_listing()
     effects.extend(become_ready(state, now))
     if follower.stale:
         follower.listen(now + LISTEN_S)
@@ -77,6 +78,8 @@
     known = _announced_state(state)
     for stored in event.objects:
         effects.extend(_apply(state, follower, stored, now))
+    if follower.collection is Collection.UPSTREAMS:
+        _advance_directory(state, event.objects, event.revision)
     if follower.collection is Collection.EVACUATIONS:
         reported = evacuated_with(state.evacuated, event.objects, event.revision)
         effects.extend(apply_evacuated(state, reported, STORE, now))
@@ -140,12 +143,25 @@
         effects.extend(_apply(state, follower, stored, now))
     if follower.collection is Collection.UPSTREAMS:
         effects.extend(_remove_unlisted(state, follower, now))
+        _advance_directory(state, follower.listing.objects, follower.listing.revision or 0)
     if follower.collection is Collection.EVACUATIONS:
         effects.extend(apply_evacuated(state, _listed_evacuated(state, follower), STORE, now))
-    follower.listing = Listing()
     return effects
 
 
+def _advance_directory(state: RoutingState, objects: list[StoredObject], complete: int) -> None:
+    """Record the last change among `objects`, which account for every change up to `complete`."""
+    revisions = (stored.revision for stored in objects if stored.revision <= complete)
+    state.directory.advance_revision(max(revisions, default=0))
+
+
+def _note_unseen_removals(state: RoutingState, follower: Follower) -> None:
+    """Record that a listing hides what was added and removed since the last answer."""
+    revision = follower.listing.revision or 0
+    if revision > follower.revision:
+        state.directory.removals_since = max(state.directory.removals_since, revision)
+
+
 def _announced_state(state: RoutingState) -> tuple[int, int, frozenset[str]]:
     """Return the values whose change has to be announced to peers at once."""
     return state.text_order, state.directory.newest_revision, state.evacuated.centres
@@ -244,8 +260,8 @@
     """Remove the upstreams that are absent from a complete listing.
 
     Nothing is removed if the listing has objects with unreadable names, which may be any of them.
-    A peer may have reported entries newer than the listing, so a removal counts from the listing's
-    own revision.
+    A peer or a newer page may have shown entries newer than the listing, so a removal counts from
+    the listing's own revision.
     """
     effects: list[Effect] = []
     if follower.listing.has_gaps:
@@ -256,6 +272,7 @@
         if name in found:
             continue
         effects.extend(apply_removal(state, name, revision, now))
+        state.directory.advance_revision(revision)
     return effects
 
 
--- a/src/bronzekeel/entry/peer_messages.py
+++ b/src/bronzekeel/entry/peer_messages.py
@@ -32,6 +32,7 @@
 from bronzekeel.core.routing.model import Route, RoutingText, ServiceShare, UpstreamEntry
 from bronzekeel.entry.caller_fields import decode_callers, encode_callers
 from bronzekeel.entry.count_fields import decode_counts, encode_counts
+from bronzekeel.entry.listed_fields import decode_listed, encode_listed
 from bronzekeel.entry.load_fields import decode_demand, decode_centres, encode_load
 from bronzekeel.entry.revision_fields import (
     decode_revision,
@@ -179,6 +180,8 @@
             'upstreams_followed': encode_revision(view.upstreams_followed),
             'newest': encode_revision(view.newest_revision),
             'all_missing': view.all_missing,
+            'removals_since': encode_revision(view.removals_since),
+            'listed': encode_listed(view),
         },
     )
 
@@ -188,14 +191,17 @@
     try:
         fields = decode_json(raw)
         text = fields['text']
+        entries = [_decode_entry(entry) for entry in fields['entries']]
         return View(
             None if text is None else _decode_text(text),
             decode_revision(*fields['text_followed']),
-            [_decode_entry(entry) for entry in fields['entries']],
+            entries,
             [_decode_missing(missing) for missing in fields['missing']],
             decode_revision(*fields['upstreams_followed']),
             decode_revision(*fields['newest']),
             all_missing=bool(fields['all_missing']),
+            removals_since=decode_revision(*fields['removals_since']),
+            listed_names=decode_listed(fields['listed'], [entry.name for entry in entries]),
         )
     except _FORMAT_ERRORS as error:
         raise MessageError(f'view unreadable: {error!r}') from error
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -78,7 +78,13 @@
         self.assertFalse(state.ready)
         following = of_kind(effects, ReadPage)
         self.assertEqual([entry(1).name], [item.after for item in following])
-        effects = reduce(state, page(Collection.UPSTREAMS, entry(2)), 0)
+        second = PageRead(
+            Collection.UPSTREAMS,
+            [StoredObject(entry(2).name, 1, entry(2))],
+            12,
+            more=False,
+        )
+        effects = reduce(state, second, 0)
         self.assertTrue(state.ready)
         self.assertEqual(2, state.directory.listed_count)
         effects = reduce(state, Ticked(), LISTEN_S)
