Let a stand-in report the port that two upstreams share in a test

test_upstreams_of_two_kinds_have_different_ports bound a TCP port by the number of a UDP port that the kernel had given out. That number was free for UDP only: beside load, another process held it for TCP, and the test failed with 'address already in use'.

The request upstream is opened on a port of the kernel's choice now, and the stand-in reports the flow upstream's endpoint for it the first time. As before, the site must notice and open it again on another; besides, the test checks that it was opened twice and serves where it says.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -82,16 +82,19 @@
     async def _open_upstreams_of_two_kinds(self) -> None:
         site = Site(Random(1))
         flows = await site.add_upstream(INTAKE)
-        port = int(flows.rpartition(':')[2])
         original_open = RequestUpstream.open
-        ports = iter((port, 0))
+        taken = [flows]
+        opened: list[str] = []
 
-        async def open_on_port(upstream: RequestUpstream) -> str:  # noqa: WPS430 (kernel stand-in)
-            return await original_open(upstream, next(ports))
+        async def open_on_taken(upstream: RequestUpstream) -> str:  # noqa: WPS430 (kernel stand-in)
+            opened.append(await original_open(upstream))
+            return taken.pop() if taken else opened[-1]
 
-        with patch.object(RequestUpstream, 'open', open_on_port):
+        with patch.object(RequestUpstream, 'open', open_on_taken):
             requests = await site.add_upstream(CHECKS)
         self.assertNotEqual(flows, requests)
+        self.assertEqual(opened[-1], requests)
+        self.assertGreaterEqual(len(opened), 2)
         await site.close()
 
 
