Report no removal of upstreams that could not be read

A host that starts while an entry is unreadable does not know its upstream, so the names of all listed upstreams that it reports to peers must include it, or they would drop it and reset its flows. If names were unreadable, nobody can tell what stands behind them: such a host reports no names, and takes entries from peers though they are older than its listing. An older readable entry from a peer that is behind does not replace an unreadable one.

--- a/src/bronzekeel/core/routing/directory.py
+++ b/src/bronzekeel/core/routing/directory.py
@@ -44,9 +44,11 @@
     """Hold all upstreams by name, by service and by short number.
 
     Every change up to `newest_revision` is known; entries may be newer.  Every removal after
-    `removals_since` is remembered.  `pools_by_service` has the pools of a service by data centre.
-    `changes` counts changes that affect where packets go.  `ordered` is disabled only by tests that
-    show the effect of the order by revision.
+    `removals_since` is remembered.  The last listing `has_gaps` if some names in it were
+    unreadable; `unreadable_by_name` has the revisions of entries that were never readable here.
+    `pools_by_service` has the pools of a service by data centre.  `changes` counts changes that
+    affect where packets go.  `ordered` is disabled only by tests that show the effect of the order
+    by revision.
     """
 
     def __init__(self) -> None:
@@ -58,6 +60,8 @@
         self.grace_until: float = 0
         self.newest_revision = 0
         self.removals_since = 0
+        self.has_gaps = False
+        self.unreadable_by_name: dict[str, int] = {}
         self.ordered = True
         self.changes = 0
         self._lapsed: list[Upstream] = []
@@ -71,9 +75,12 @@
         return sum(upstream.listed for upstream in self.by_name.values())
 
     @property
-    def listed_names(self) -> frozenset[str]:
-        """Names of the upstreams that the store lists."""
-        return frozenset(name for name, upstream in self.by_name.items() if upstream.listed)
+    def listed_names(self) -> frozenset[str] | None:
+        """Names of all upstreams that the store lists, None if some of them are unreadable."""
+        if self.has_gaps:
+            return None
+        listed = (name for name, upstream in self.by_name.items() if upstream.listed)
+        return frozenset((*listed, *self.unreadable_by_name))
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service in the order they were added, including gone ones."""
@@ -141,6 +148,7 @@
         the pool of its new entry.
         """
         known = self.by_name.get(entry.name)
+        self.unreadable_by_name.pop(entry.name, None)
         if known is None:
             self._add(entry, now)
             return True
@@ -176,7 +184,10 @@
         The upstream may be alive: it gets no new flows, and keeps its open ones.
         """
         known = self.by_name.get(name)
-        if known is None or revision <= max(known.entry.revision, known.removed_revision):
+        if known is None:
+            self.unreadable_by_name[name] = revision
+            return False
+        if revision <= max(known.entry.revision, known.removed_revision):
             return False
         self.changes += 1
         self._unconfirmed_by_name.pop(name, None)
@@ -197,6 +208,7 @@
         gone at once; after an outage it may come back.
         """
         known = self.by_name.get(name)
+        self.unreadable_by_name.pop(name, None)
         if known is None:
             self.removals_since = max(self.removals_since, revision)
             return None
--- a/src/bronzekeel/core/routing/object_updates.py
+++ b/src/bronzekeel/core/routing/object_updates.py
@@ -52,8 +52,10 @@
     since.  It comes from a peer that is behind, or from a stale read.
     """
     former = state.directory.by_name.get(entry.name)
-    is_listed = former is not None and former.listed
-    if not is_listed and entry.usable and entry.revision <= state.upstreams_complete:
+    unreadable_revision = state.directory.unreadable_by_name.get(entry.name, 0)
+    if entry.revision < unreadable_revision:
+        entry = entry.unusable(unreadable_revision)
+    if entry.usable and _is_removed(state, entry):
         return []
     if not state.directory.apply(entry, now):
         return []
@@ -82,6 +84,14 @@
     ]
 
 
+def _is_removed(state: RoutingState, entry: UpstreamEntry) -> bool:
+    """Whether an entry is known to be removed, as it is older than what is known completely."""
+    known = state.directory.by_name.get(entry.name)
+    if state.directory.has_gaps or (known is not None and known.listed):
+        return False
+    return entry.revision <= state.upstreams_complete
+
+
 def handle_unreadable(state: RoutingState, name: str, revision: int, problem: str) -> list[Effect]:
     """Ignore an unreadable object; an upstream with an unreadable entry gets no new flows."""
     state.store_record.unreadable_objects += 1
--- a/src/bronzekeel/core/routing/state.py
+++ b/src/bronzekeel/core/routing/state.py
@@ -133,6 +133,8 @@
     @property
     def upstreams_complete(self) -> int:
         """The revision up to which every change of upstreams is known."""
+        if self.directory.has_gaps:
+            return self.directory.newest_revision
         followed = self.follower_by_collection[Collection.UPSTREAMS].revision
         return max(self.directory.newest_revision, followed)
 
--- a/src/bronzekeel/core/routing/store_answers.py
+++ b/src/bronzekeel/core/routing/store_answers.py
@@ -137,6 +137,7 @@
     would not ask for the rest.
     """
     if follower.collection is Collection.UPSTREAMS:
+        state.directory.has_gaps = follower.listing.has_gaps
         note_restore(state, follower.listing.revision or 0, now)
     effects: list[Effect] = []
     for stored in follower.listing.objects:
@@ -268,6 +269,10 @@
         return effects
     revision = follower.listing.revision or 0
     found = {listed.name for listed in follower.listing.objects}
+    unreadable = state.directory.unreadable_by_name
+    state.directory.unreadable_by_name = {
+        name: unreadable[name] for name in found & set(unreadable)
+    }
     for name in list(state.directory.by_name):
         if name in found:
             continue
--- a/tests/test_listing_pages.py
+++ b/tests/test_listing_pages.py
@@ -15,6 +15,7 @@
     Started,
     StoredObject,
     Ticked,
+    Unreadable,
     ViewFetched,
 )
 from bronzekeel.core.routing.follower import LISTEN_S, Collection
@@ -90,6 +91,46 @@
                     self.assertEqual(80, watched[-1])
 
 
+class UnreadableTest(TestCase):
+    """A host starts while some entries cannot be read."""
+
+    def test_an_unreadable_entry_is_not_reported_as_removed(self) -> None:
+        """Guards against peers that drop an upstream because another host could not read it."""
+        peer = _ready(entry(1))
+        state = fresh_state()
+        unreadable = StoredObject(entry(1).name, 40, Unreadable('no address'))
+        _start(state, [unreadable, _stored(entry(2, revision=50))], 50)
+        _exchange(peer, state)
+        self.assertTrue(peer.directory.by_name[entry(1).name].listed)
+
+    def test_an_older_entry_does_not_replace_an_unreadable_one(self) -> None:
+        """Guards against new flows to an upstream whose entry became unreadable."""
+        state = fresh_state()
+        unreadable = StoredObject(entry(1).name, 40, Unreadable('no address'))
+        _start(state, [unreadable, _stored(entry(2, revision=50))], 50)
+        reduce(state, ViewFetched(_PEER, View(None, 0, [entry(1)], [], 0)), 1)
+        self.assertFalse(state.directory.by_name[entry(1).name].entry.usable)
+
+    def test_peers_fill_the_gaps_of_a_listing(self) -> None:
+        """Guards against a host that ignores upstreams hidden behind unreadable names."""
+        peer = _ready(entry(1), entry(2, revision=50), entry(3, revision=60))
+        state = fresh_state()
+        unnamed = StoredObject('', 40, Unreadable('no name'))
+        _start(state, [unnamed, _stored(entry(2, revision=10))], 55)
+        _exchange(state, peer)
+        self.assertIn(entry(3).name, state.directory.by_name)
+        self.assertIn(entry(2, revision=50).name, state.directory.by_name)
+
+    def test_a_host_with_gaps_reports_no_removals(self) -> None:
+        """Guards against peers that drop upstreams hidden behind unreadable names."""
+        peer = _ready(entry(1))
+        state = fresh_state()
+        unnamed = StoredObject('', 40, Unreadable('no name'))
+        _start(state, [unnamed, _stored(entry(2, revision=50))], 50)
+        _exchange(peer, state)
+        self.assertTrue(peer.directory.by_name[entry(1).name].listed)
+
+
 class ViewFieldsTest(TestCase):
     """Views as they are sent."""
 
@@ -264,6 +305,14 @@
     return {name: known.entry.revision for name, known in by_name.items() if known.listed}
 
 
+def _start(state: RoutingState, objects: list[StoredObject], revision: int) -> None:
+    """Start a host with a listing of one page."""
+    reduce(state, Started(), 0)
+    reduce(state, page(Collection.TEXT, text(1)), 0)
+    reduce(state, page(Collection.EVACUATIONS), 0)
+    reduce(state, PageRead(Collection.UPSTREAMS, objects, revision, more=False), 0)
+
+
 def _ready(*entries: UpstreamEntry) -> RoutingState:
     """Return the state of another host, with a listing of one page."""
     state = fresh_state('b1')
