Wait for a slow store before its answers count as lost

A watch had to end half a second after its wait, and a view to be confirmed by then.

An answer has twice the time now that the last late one took, half a second at least and the timeout of a call at most. After a silence of a store that is not slow nothing changes.

--- a/src/bronzekeel/core/routing/follower.py
+++ b/src/bronzekeel/core/routing/follower.py
@@ -22,9 +22,8 @@
 )
 
 
-#: Seconds within which this balancer's own watch must report a change that a peer reported, or
-#: must end after its wait is over.  A store sixty times slower than its usual 4 ms answers in half
-#: of this time.
+#: Seconds within which this balancer's own watch must report a change that a peer reported.  A
+#: store sixty times slower than its usual 4 ms answers in half of this time.
 MAX_WATCH_LAG_S = 0.5
 
 #: The same for a stale watch, since stale reads may be seconds behind in the users' store.
@@ -179,7 +178,7 @@
             return False
         return self.is_current(now) and self.due_at > now
 
-    def is_unconfirmed(self, now: float) -> bool:
+    def is_unconfirmed(self, now: float, grace_s: float) -> bool:
         """Whether a watch is in progress, and nothing has confirmed the view for too long.
 
         When the store loses an answer, it does not close the connection, and all watches that wait
@@ -188,7 +187,7 @@
         """
         if self.probing or self.delayed_until is not None or not self.is_current(now):
             return False
-        return now >= self.confirmed_at + CONFIRM_INTERVAL_S + MAX_WATCH_LAG_S
+        return now >= self.confirmed_at + CONFIRM_INTERVAL_S + grace_s
 
     def begin_listing(self, now: float) -> Effect:
         """Return the request for the first page.
@@ -261,13 +260,14 @@
         now: float,
         *,
         wait_s: float = WATCH_WAIT_S,
+        grace_s: float = ANSWER_TIMEOUT_S,
         stale: bool = False,
     ) -> Effect:
-        """Return a watch for changes after `revision`."""
+        """Return a watch for changes after `revision`, which must end `grace_s` after its wait."""
         self._note_answer(now)
         self.probing = False
         self.confirmed_at = now
-        self.stalled_at = now + wait_s + MAX_WATCH_LAG_S
+        self.stalled_at = now + wait_s + grace_s
         return self._watch(now, wait_s, stale=stale)
 
     def fail(self, now: float) -> None:
@@ -296,10 +296,10 @@
             return self._watch(now, PROBE_WATCH_S, stale=stale)
         return self.begin_listing(now)
 
-    def probe(self, now: float, *, stale: bool = False) -> Effect:
+    def probe(self, now: float, grace_s: float) -> Effect:
         """Restart an unconfirmed watch; the view stays current while a prompt answer may arrive."""
-        effect = self.resume(now, stale=stale)
-        self.current_until = now + MAX_WATCH_LAG_S
+        effect = self.resume(now)
+        self.current_until = now + grace_s
         return effect
 
     def _watch(self, now: float, wait_s: float, *, stale: bool) -> Effect:
--- a/src/bronzekeel/core/routing/store_answers.py
+++ b/src/bronzekeel/core/routing/store_answers.py
@@ -68,6 +68,8 @@
     follower = state.follower_by_collection[Collection(event.collection)]
     if incarnation_of(event.revision) < state.incarnation:
         return on_failure(state, CallFailed(event.collection, _OLD_INCARNATION), now)
+    if now >= follower.due_at:
+        state.store_record.late_s = now - follower.due_at
     effects = _note_recovered(state, follower, now)
     effects.extend(_note_incarnation(state, follower, event.revision, now))
     # A restored store answers a watch by its revision number alone, and gives out numbers again, so
--- a/src/bronzekeel/core/routing/store_calls.py
+++ b/src/bronzekeel/core/routing/store_calls.py
@@ -13,13 +13,14 @@
     effects: list[Effect] = []
     watches = state.is_watcher(now)
     confirms = watches and state.reads_newest(now)
+    grace_s = state.store_record.grace_s
     behind = collections_behind(state, now)
     if behind:
         state.behind_since = now
     for follower in state.follower_by_collection.values():
-        if confirms and follower.is_unconfirmed(now):
+        if confirms and follower.is_unconfirmed(now, grace_s):
             effects.append(_doubted_line(state, follower, now))
-            effects.append(follower.probe(now))
+            effects.append(follower.probe(now, grace_s))
             continue
         is_behind = follower.collection in behind
         effects.extend(_next_call(state, follower, now, watches=watches, behind=is_behind))
@@ -30,7 +31,12 @@
     """Start the next watch, or pause if enough other balancers watch."""
     collection = follower.collection
     wait_s = state.watch_wait_s(collection, now)
-    effect = follower.watch(now, wait_s=wait_s, stale=state.reads_stale(collection, now))
+    effect = follower.watch(
+        now,
+        wait_s=wait_s,
+        grace_s=state.store_record.grace_s,
+        stale=state.reads_stale(collection, now),
+    )
     if state.is_watcher(now):
         return [effect]
     follower.pause()
--- a/src/bronzekeel/replay/routing_fleet.py
+++ b/src/bronzekeel/replay/routing_fleet.py
@@ -129,6 +129,7 @@
         self.isolated_centres: set[str] = set()
         self.lost_directions: set[tuple[str, str]] = set()
         self.views_available = True
+        self.store_delay_s = _STORE_DELAY_S
         self.remote_heartbeats = 0
         self._handlers: dict[type[Effect], Callable[..., None]] = {
             WriteLine: _count_line,
@@ -265,7 +266,7 @@
             page = self.store.page(
                 collection, self.store.visible_revision(self.now, stale=effect.stale)
             )
-            self.at(_STORE_DELAY_S, lambda: self._handle(node, boot, page))
+            self.at(self.store_delay_s, lambda: self._handle(node, boot, page))
             return
         failure = CallFailed(collection, 'no answer')
         self.at(_failure_delay_s(node, 0), lambda: self._handle(node, boot, failure))
@@ -302,7 +303,7 @@
         if isinstance(found, ChangesRead) and not found.objects and not last:
             return
         if reached:
-            self._end_watch(watch, found, _STORE_DELAY_S)
+            self._end_watch(watch, found, self.store_delay_s)
             return
         failure = CallFailed(watch.effect.collection, 'no answer')
         self._end_watch(watch, failure, watch.ends_at + ANSWER_TIMEOUT_S - self.now)
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,6 +8,7 @@
 from bronzekeel.core.routing.follower import BATCH_S, Collection
 from bronzekeel.core.routing.model import UpstreamEntry
 from bronzekeel.core.routing.state import RoutingState
+from bronzekeel.core.routing.watcher_selection import NEWEST_READERS
 from bronzekeel.core.store_waits import CONFIRM_INTERVAL_S, WATCH_WAIT_S
 from bronzekeel.replay.routing_fleet import RoutingFleet
 from tests.routing_cases import fleet_of, put_text, put_upstream
@@ -94,6 +95,22 @@
                 fleet.run(_STABLE_S)
                 self.assertEqual([], _outdated(fleet, Collection.UPSTREAMS))
 
+    def test_a_slow_store_is_not_called_more_often(self) -> None:
+        """Guards against calls for answers that are late, which make a slow store slower."""
+        for delay_s in (0.8, 1.5):
+            with self.subTest(delay_s=delay_s):
+                fleet = fleet_of(9, ('dc-a', 'dc-b', 'dc-c'))
+                fleet.run(_SETTLED_S)
+                fleet.store_delay_s = delay_s
+                fleet.run(2 * WATCH_WAIT_S)
+                before = sum(node.calls for node in fleet.running)
+                fleet.run(_SETTLED_S)
+                calls = sum(node.calls for node in fleet.running) - before
+                watchers = sum(node.state.is_direct(fleet.now) for node in fleet.running)
+                usual = watchers * len(Collection) * _SETTLED_S / WATCH_WAIT_S
+                confirmations = NEWEST_READERS * _SETTLED_S / CONFIRM_INTERVAL_S
+                self.assertLessEqual(calls, usual + confirmations)
+
     def test_a_quiet_store_confirms_all_collections_at_once(self) -> None:
         """Guards against calls for each collection while nothing changes."""
         fleet = fleet_of(4, ('dc-a',))
